Add the design page, shared types, wire protocol, tickets and transport

Cause: the repository was empty. The packages that every process needs come first, so that the daemons can be written against fixed interfaces. Ruled out: gob and protobuf for the internal protocol; CBOR needs no generator and bounds nesting and element counts when it decodes. Before: nothing built. Conclusion: the daemons can start from here.

--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,32 @@
+// Package deps pins module versions until the packages that need them exist.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/Shopify/toxiproxy/v2"
+	_ "github.com/Shopify/toxiproxy/v2/toxics"
+	_ "github.com/apex/log"
+	_ "github.com/apex/log/handlers/logfmt"
+	_ "github.com/apex/log/handlers/memory"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/matryer/is"
+	_ "github.com/pelletier/go-toml/v2"
+	_ "github.com/pelletier/go-toml/v2/unstable"
+	_ "github.com/prometheus/client_golang/prometheus"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/quic-go/quic-go"
+	_ "github.com/spf13/cobra"
+	_ "github.com/uber-go/tally/v4"
+	_ "github.com/uber-go/tally/v4/prometheus"
+	_ "github.com/zeebo/errs/v2"
+	_ "go.uber.org/goleak"
+	_ "goa.design/goa/v3/dsl"
+	_ "goa.design/goa/v3/http"
+	_ "goa.design/goa/v3/http/middleware"
+	_ "goa.design/goa/v3/pkg"
+	_ "goa.design/goa/v3/security"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,119 @@
+// Package events records what a process does: one key=value log line per event
+// and a bounded ring from which the timeline command reads. Events carry hybrid
+// logical timestamps, so the rings of all processes merge in causal order.
+package events
+
+import (
+	"io"
+	"sort"
+	"sync"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+)
+
+// ringSize is the number of events a process keeps for the timeline.
+const ringSize = 8192
+
+// Field is one key and value of an event.
+type Field struct {
+	Key   string `json:"key"`
+	Value any    `json:"value"`
+}
+
+// F returns a field.
+func F(key string, value any) Field { return Field{Key: key, Value: value} }
+
+// Event is one thing that a process did.
+type Event struct {
+	Time    Timestamp       `json:"time"`
+	Process fleet.ProcessID `json:"process"`
+	Start   fleet.StartID   `json:"start,string"`
+	Name    string          `json:"name"`
+	Request fleet.RequestID `json:"request,omitempty"`
+	Fields  []Field         `json:"fields,omitempty"`
+}
+
+// Recorder writes events to the log and keeps the most recent ones. It is
+// safe for concurrent use.
+type Recorder struct {
+	Clock   *Clock
+	process fleet.ProcessID
+	start   fleet.StartID
+	logger  log.Interface
+
+	mu   sync.Mutex
+	ring []Event
+	next int
+}
+
+// NewRecorder returns a recorder that logs to w in logfmt.
+func NewRecorder(process fleet.ProcessID, start fleet.StartID, w io.Writer) *Recorder {
+	return &Recorder{
+		Clock:   NewClock(),
+		process: process,
+		start:   start,
+		logger:  &log.Logger{Handler: logfmt.New(w), Level: log.InfoLevel},
+	}
+}
+
+// Record logs and keeps one event. request is empty when the event belongs to
+// no request.
+func (r *Recorder) Record(name string, request fleet.RequestID, fields ...Field) {
+	e := Event{Time: r.Clock.Now(), Process: r.process, Start: r.start, Name: name, Request: request, Fields: fields}
+	r.keep(e)
+	r.logger.WithFields(logFields(e)).Info(name)
+}
+
+func (r *Recorder) keep(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < ringSize {
+		r.ring = append(r.ring, e)
+		return
+	}
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % ringSize
+}
+
+// Recent returns the kept events that are later than after, oldest first.
+func (r *Recorder) Recent(after Timestamp) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for i := range r.ring {
+		e := r.ring[(r.next+i)%len(r.ring)]
+		if e.Time > after {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Merge orders the events of several processes by timestamp, then by process.
+func Merge(rings ...[]Event) []Event {
+	var all []Event
+	for _, ring := range rings {
+		all = append(all, ring...)
+	}
+	sort.SliceStable(all, func(i, j int) bool {
+		if all[i].Time != all[j].Time {
+			return all[i].Time < all[j].Time
+		}
+		return all[i].Process < all[j].Process
+	})
+	return all
+}
+
+func logFields(e Event) log.Fields {
+	f := log.Fields{"process": string(e.Process), "hlc": uint64(e.Time)}
+	if e.Request != "" {
+		f["request"] = string(e.Request)
+	}
+	for _, field := range e.Fields {
+		f[field.Key] = field.Value
+	}
+	return f
+}
--- /dev/null
+++ b/internal/transport/tls.go
@@ -0,0 +1,140 @@
+package transport
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// ALPN is the protocol name that both sides must offer. It changes with every
+// incompatible change of package wire.
+const ALPN = "coltsfootbay/1"
+
+// reloadInterval is how often the key files' modification times are checked.
+const reloadInterval = time.Second
+
+// KeyFiles names the PEM files of a process's identity.
+type KeyFiles struct {
+	Certificate string
+	Key         string
+	// Authority holds the certificates of the fleet's certificate authority;
+	// it may hold several while the authority is being replaced.
+	Authority string
+}
+
+// Identity holds a process's certificate and the fleet's authority. It reads
+// the files again when they change, so keys rotate without a restart. It is
+// safe for concurrent use.
+type Identity struct {
+	files KeyFiles
+
+	mu          sync.Mutex
+	certificate *tls.Certificate
+	authority   *x509.CertPool
+	modified    [3]time.Time
+	checked     time.Time
+}
+
+// LoadIdentity reads the key files, or says which one is wrong and why.
+func LoadIdentity(files KeyFiles) (*Identity, error) {
+	id := &Identity{files: files}
+	if err := id.load(); err != nil {
+		return nil, err
+	}
+	return id, nil
+}
+
+func (id *Identity) load() error {
+	certificate, err := tls.LoadX509KeyPair(id.files.Certificate, id.files.Key)
+	if err != nil {
+		return fmt.Errorf("load certificate %s with key %s: %w", id.files.Certificate, id.files.Key, err)
+	}
+	pem, err := os.ReadFile(id.files.Authority)
+	if err != nil {
+		return fmt.Errorf("read certificate authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("%s holds no PEM certificate", id.files.Authority)
+	}
+	id.certificate, id.authority = &certificate, pool
+	id.modified, id.checked = id.modificationTimes(), time.Now()
+	return nil
+}
+
+func (id *Identity) modificationTimes() [3]time.Time {
+	var times [3]time.Time
+	for i, name := range []string{id.files.Certificate, id.files.Key, id.files.Authority} {
+		if info, err := os.Stat(name); err == nil {
+			times[i] = info.ModTime()
+		}
+	}
+	return times
+}
+
+// current returns the newest keys that load without error. Files that are half
+// written fail to load and leave the previous keys in use.
+func (id *Identity) current() (*tls.Certificate, *x509.CertPool) {
+	id.mu.Lock()
+	defer id.mu.Unlock()
+	if time.Since(id.checked) >= reloadInterval {
+		id.checked = time.Now()
+		if id.modificationTimes() != id.modified {
+			_ = id.load()
+		}
+	}
+	return id.certificate, id.authority
+}
+
+func (id *Identity) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{ALPN},
+		ClientAuth: tls.RequireAnyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			certificate, _ := id.current()
+			return certificate, nil
+		},
+		VerifyConnection: id.verifyPeer,
+		// A resumed session would skip the check against the current authority.
+		SessionTicketsDisabled: true,
+	}
+}
+
+func (id *Identity) clientConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{ALPN},
+		// Processes connect by IP address and may move, so the certificate is
+		// checked against the fleet's authority and not against a host name.
+		InsecureSkipVerify: true,
+		VerifyConnection:   id.verifyPeer,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			certificate, _ := id.current()
+			return certificate, nil
+		},
+	}
+}
+
+func (id *Identity) verifyPeer(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("peer sent no certificate")
+	}
+	_, authority := id.current()
+	options := x509.VerifyOptions{
+		Roots:         authority,
+		Intermediates: x509.NewCertPool(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	}
+	for _, c := range state.PeerCertificates[1:] {
+		options.Intermediates.AddCert(c)
+	}
+	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
+		return fmt.Errorf("peer certificate: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,97 @@
+// Package verdict says, for every failed request, whether it may have run.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Verdict tells a caller whether its request ran.
+type Verdict string
+
+// The verdicts. NotRun is a promise: the request did not and will not run.
+const (
+	NotRun     Verdict = "not_run"
+	MayHaveRun Verdict = "may_have_run"
+	Completed  Verdict = "completed"
+)
+
+// Reason is the machine-readable cause of a failure.
+type Reason string
+
+// Reasons that several packages use.
+const (
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonUnauthenticated  Reason = "unauthenticated"
+	ReasonForbidden        Reason = "forbidden"
+	ReasonNoConfiguration  Reason = "no_configuration"
+	ReasonNoBackendServer  Reason = "no_backend_server"
+	ReasonUnknownModel     Reason = "unknown_model"
+	ReasonUnknownService   Reason = "unknown_service"
+	ReasonTicketRequired   Reason = "ticket_required"
+	ReasonTicketInvalid    Reason = "ticket_invalid"
+	ReasonTicketExpired    Reason = "ticket_expired"
+	ReasonTicketSpent      Reason = "ticket_spent"
+	ReasonOtherStart       Reason = "other_start"
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonDeadline         Reason = "deadline"
+	ReasonLeaving          Reason = "leaving"
+	ReasonQuarantined      Reason = "quarantined"
+	ReasonServerCrashed    Reason = "server_crashed"
+	ReasonServerFailed     Reason = "server_failed"
+	ReasonLinkLost         Reason = "link_lost"
+	ReasonCanceled         Reason = "canceled"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonStreamUnknown    Reason = "stream_unknown"
+	ReasonResponseTooLarge Reason = "response_too_large"
+	ReasonInternal         Reason = "internal"
+)
+
+// Error is a failed request together with its verdict.
+type Error struct {
+	Verdict Verdict
+	Reason  Reason
+	// Status is the HTTP status to answer with.
+	Status int
+	// RetryAfter is how long the caller should wait; zero means unstated.
+	RetryAfter time.Duration
+	// TicketSpent tells that the ticket can never run a request any more.
+	TicketSpent bool
+	// Detail is a sentence for a person.
+	Detail string
+}
+
+// Error returns the reason, the verdict and the detail.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Detail)
+}
+
+// Refuse returns a NotRun error.
+func Refuse(status int, reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Reason: reason, Status: status, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Uncertain returns a MayHaveRun error with status 502.
+func Uncertain(reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: MayHaveRun, Reason: reason, Status: http.StatusBadGateway, Detail: fmt.Sprintf(format, args...)}
+}
+
+// WithRetryAfter returns a copy of e that asks the caller to wait for d.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// From returns the Error that err wraps, or a MayHaveRun error for any other
+// error: a failure of unknown kind never claims that the request did not run.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Uncertain(ReasonInternal, "%v", err)
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+)
+
+// MaxFrameBytes bounds one frame: a platform document of 1 MiB, which CBOR
+// hardly grows, with room for the fields around it.
+const MaxFrameBytes = 2 << 20
+
+// headerBytes is the frame header: 4 bytes of length, 1 byte of kind and
+// 8 bytes of timestamp. The length counts everything after itself.
+const (
+	lengthBytes = 4
+	kindBytes   = 1
+	stampBytes  = 8
+	headerBytes = lengthBytes + kindBytes + stampBytes
+)
+
+// ErrFrame is returned for a frame that is too long, too short, of an unknown
+// kind or whose body does not decode.
+var ErrFrame = errors.New("malformed frame")
+
+type kind uint8
+
+const (
+	kindOpen kind = iota + 1
+	kindHello
+	kindHeartbeat
+	kindReport
+	kindMembers
+	kindConfigDigest
+	kindConfigDocs
+	kindSuspicions
+	kindSuspicionAck
+	kindSubmit
+	kindAttach
+	kindResolve
+	kindCancel
+	kindAccepted
+	kindBegun
+	kindPart
+	kindResponse
+	kindChunk
+	kindDone
+	kindRefused
+)
+
+func (*Open) messageKind() kind         { return kindOpen }
+func (*Hello) messageKind() kind        { return kindHello }
+func (*Heartbeat) messageKind() kind    { return kindHeartbeat }
+func (*Report) messageKind() kind       { return kindReport }
+func (*Members) messageKind() kind      { return kindMembers }
+func (*ConfigDigest) messageKind() kind { return kindConfigDigest }
+func (*ConfigDocs) messageKind() kind   { return kindConfigDocs }
+func (*Suspicions) messageKind() kind   { return kindSuspicions }
+func (*SuspicionAck) messageKind() kind { return kindSuspicionAck }
+func (*Submit) messageKind() kind       { return kindSubmit }
+func (*Attach) messageKind() kind       { return kindAttach }
+func (*Resolve) messageKind() kind      { return kindResolve }
+func (*Cancel) messageKind() kind       { return kindCancel }
+func (*Accepted) messageKind() kind     { return kindAccepted }
+func (*Begun) messageKind() kind        { return kindBegun }
+func (*Part) messageKind() kind         { return kindPart }
+func (*Response) messageKind() kind     { return kindResponse }
+func (*Chunk) messageKind() kind        { return kindChunk }
+func (*Done) messageKind() kind         { return kindDone }
+func (*Refused) messageKind() kind      { return kindRefused }
+
+// newMessage returns an empty message of kind k, or nil if k is unknown.
+func newMessage(k kind) Message {
+	switch k {
+	case kindOpen:
+		return &Open{}
+	case kindHello:
+		return &Hello{}
+	case kindHeartbeat:
+		return &Heartbeat{}
+	case kindReport:
+		return &Report{}
+	case kindMembers:
+		return &Members{}
+	case kindConfigDigest:
+		return &ConfigDigest{}
+	case kindConfigDocs:
+		return &ConfigDocs{}
+	case kindSuspicions:
+		return &Suspicions{}
+	case kindSuspicionAck:
+		return &SuspicionAck{}
+	case kindSubmit:
+		return &Submit{}
+	case kindAttach:
+		return &Attach{}
+	case kindResolve:
+		return &Resolve{}
+	case kindCancel:
+		return &Cancel{}
+	case kindAccepted:
+		return &Accepted{}
+	case kindBegun:
+		return &Begun{}
+	case kindPart:
+		return &Part{}
+	case kindResponse:
+		return &Response{}
+	case kindChunk:
+		return &Chunk{}
+	case kindDone:
+		return &Done{}
+	case kindRefused:
+		return &Refused{}
+	}
+	return nil
+}
+
+// decoder bounds nesting and element counts, because frames come from outside
+// the process.
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxNestedLevels: 8, MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 12}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Write encodes m with a timestamp and writes it as one frame.
+func Write(w io.Writer, stamp events.Timestamp, m Message) error {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("encode %T: %w", m, err)
+	}
+	length := kindBytes + stampBytes + len(body)
+	if length > MaxFrameBytes {
+		return fmt.Errorf("%w: %T of %d bytes exceeds %d", ErrFrame, m, length, MaxFrameBytes)
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(body))
+	binary.BigEndian.PutUint32(frame, uint32(length))
+	frame[lengthBytes] = byte(m.messageKind())
+	binary.BigEndian.PutUint64(frame[lengthBytes+kindBytes:], uint64(stamp))
+	_, err = w.Write(append(frame, body...))
+	return err
+}
+
+// Read reads one frame. It returns ErrFrame for bad content and the reader's
+// error, such as io.EOF between frames, otherwise.
+func Read(r io.Reader) (Message, events.Timestamp, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, 0, err
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length < kindBytes+stampBytes || length > MaxFrameBytes {
+		return nil, 0, fmt.Errorf("%w: length %d", ErrFrame, length)
+	}
+	m := newMessage(kind(header[lengthBytes]))
+	if m == nil {
+		return nil, 0, fmt.Errorf("%w: kind %d", ErrFrame, header[lengthBytes])
+	}
+	body := make([]byte, length-kindBytes-stampBytes)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, 0, err
+	}
+	if err := decoder.Unmarshal(body, m); err != nil {
+		return nil, 0, fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	stamp := events.Timestamp(binary.BigEndian.Uint64(header[lengthBytes+kindBytes:]))
+	return m, stamp, nil
+}
