--- /dev/null
+++ b/internal/tomlfile/tomlfile.go
@@ -0,0 +1,210 @@
+// Package tomlfile decodes TOML strictly and reports every fault with its line
+// and the allowed values.
+package tomlfile
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Fault is one mistake in a file.
+type Fault struct {
+	File string
+	// Line is 1 for the first line; 0 means that the key is missing.
+	Line    int
+	Key     string
+	Problem string
+	// Allowed describes the values that would be accepted; it may be empty.
+	Allowed string
+}
+
+// Error returns file, line, key, problem and allowed values.
+func (f Fault) Error() string {
+	var b strings.Builder
+	b.WriteString(f.File)
+	if f.Line > 0 {
+		fmt.Fprintf(&b, ":%d", f.Line)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, ": %s", f.Key)
+	}
+	fmt.Fprintf(&b, ": %s", f.Problem)
+	if f.Allowed != "" {
+		fmt.Fprintf(&b, " (allowed: %s)", f.Allowed)
+	}
+	return b.String()
+}
+
+// Faults is a list of mistakes; as an error it has one line for each.
+type Faults []Fault
+
+// Error returns one line per fault.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the faults sorted by line, or nil if there are none.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	sort.SliceStable(f, func(i, j int) bool { return f[i].Line < f[j].Line })
+	return f
+}
+
+// File is a decoded file that knows where its keys are.
+type File struct {
+	Name   string
+	lines  map[string]int
+	faults Faults
+}
+
+// Decode reads data into target and refuses unknown keys and wrong types. All
+// unknown keys are reported at once.
+func Decode(name string, data []byte, target any) (*File, error) {
+	f := &File{Name: name, lines: keyLines(data)}
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	err := decoder.Decode(target)
+	if err == nil {
+		return f, nil
+	}
+	return nil, f.fromDecode(err)
+}
+
+func (f *File) fromDecode(err error) error {
+	var missing *toml.StrictMissingError
+	if errors.As(err, &missing) {
+		var faults Faults
+		for _, e := range missing.Errors {
+			line, _ := e.Position()
+			faults = append(faults, Fault{File: f.Name, Line: line, Key: strings.Join(e.Key(), "."), Problem: "unknown key"})
+		}
+		return faults.Err()
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ := decode.Position()
+		return Faults{{File: f.Name, Line: line, Key: strings.Join(decode.Key(), "."), Problem: strings.TrimPrefix(decode.Error(), "toml: ")}}
+	}
+	return Faults{{File: f.Name, Problem: err.Error()}}
+}
+
+// Add notes a fault of a key.
+func (f *File) Add(key, allowed, format string, args ...any) {
+	f.faults = append(f.faults, Fault{File: f.Name, Line: f.lines[key], Key: key, Problem: fmt.Sprintf(format, args...), Allowed: allowed})
+}
+
+// Line returns the line of a key, or 0 if the file does not have it. Elements
+// of an array of tables are named table[0].key.
+func (f *File) Line(key string) int { return f.lines[key] }
+
+// Err returns the faults noted so far, or nil.
+func (f *File) Err() error { return f.faults.Err() }
+
+// Required notes a fault if value is empty.
+func (f *File) Required(key, value, allowed string) {
+	if value == "" {
+		f.Add(key, allowed, "is required")
+	}
+}
+
+// OneOf notes a fault if value is not one of the allowed values.
+func (f *File) OneOf(key, value string, allowed ...string) {
+	for _, a := range allowed {
+		if a == value {
+			return
+		}
+	}
+	f.Add(key, strings.Join(allowed, ", "), "%q is not an allowed value", value)
+}
+
+// Number is a type that a range can be checked on.
+type Number interface {
+	~int | ~int64 | ~float64
+}
+
+// InRange notes a fault if value is outside low to high, inclusive.
+func InRange[T Number](f *File, key string, value, low, high T) {
+	if value < low || value > high {
+		f.Add(key, fmt.Sprintf("%v to %v", low, high), "%v is out of range", value)
+	}
+}
+
+// Duration is a time.Duration that TOML writes as a string such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText parses a duration with a unit.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("%q is not a duration such as \"10s\" or \"250ms\"", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText returns the form that UnmarshalText reads.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// String returns the duration with its unit.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// DurationInRange notes a fault if value is outside low to high, inclusive.
+func (f *File) DurationInRange(key string, value Duration, low, high time.Duration) {
+	if value.Std() < low || value.Std() > high {
+		f.Add(key, fmt.Sprintf("%s to %s", low, high), "%s is out of range", value)
+	}
+}
+
+// keyLines returns the line of every key. A file that does not parse yields
+// the keys before the fault.
+func keyLines(data []byte) map[string]int {
+	lines := map[string]int{}
+	arrays := map[string]int{}
+	prefix := ""
+	var p unstable.Parser
+	p.Reset(data)
+	for p.NextExpression() {
+		e := p.Expression()
+		name, line := keyOf(&p, e)
+		switch e.Kind {
+		case unstable.Table:
+			prefix = name + "."
+			lines[name] = line
+		case unstable.ArrayTable:
+			element := fmt.Sprintf("%s[%d]", name, arrays[name])
+			arrays[name]++
+			prefix = element + "."
+			lines[element] = line
+		case unstable.KeyValue:
+			lines[prefix+name] = line
+		}
+	}
+	return lines
+}
+
+func keyOf(p *unstable.Parser, e *unstable.Node) (name string, line int) {
+	var parts []string
+	for it := e.Key(); it.Next(); {
+		node := it.Node()
+		parts = append(parts, string(node.Data))
+		if line == 0 {
+			line = p.Shape(node.Raw).Start.Line
+		}
+	}
+	return strings.Join(parts, "."), line
+}
