Add stand-ins for the platform, engines, services and the weight store

Cause: the daemons need outside systems to be tested against, and no third-party server may be started.

Ruled out: a random generator per request, because a resumed stream must continue identically on another engine.

--- /dev/null
+++ b/internal/standin/command.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// crashStatus is the exit status of a stand-in that a request crashed.
+const crashStatus = 3
+
+func exitCrashed() { os.Exit(crashStatus) }
+
+// Command returns the standin command.
+func Command() *cobra.Command {
+	root := &cobra.Command{Use: "standin", Short: "Test-only stand-ins for outside systems", SilenceUsage: true}
+	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), weightsCommand())
+	return root
+}
+
+// command returns a subcommand that serves what build returns until SIGTERM.
+func command(name, short string, build func(ctx context.Context) http.Handler) *cobra.Command {
+	var address string
+	c := &cobra.Command{
+		Use:   name,
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return Serve(ctx, name, address, build(ctx), c.OutOrStdout())
+		},
+	}
+	c.Flags().StringVar(&address, "listen", "127.0.0.1:0", "loopback address and port")
+	return c
+}
+
+func platformCommand() *cobra.Command {
+	return command("platform", "Configuration service and VM list", func(context.Context) http.Handler {
+		return NewPlatform().Handler()
+	})
+}
+
+func engineCommand() *cobra.Command {
+	config := DefaultEngineConfig()
+	config.Crash = exitCrashed
+	c := command("engine", "Model engine", func(ctx context.Context) http.Handler {
+		engine := NewEngine(config)
+		go engine.Run(ctx)
+		return engine.Handler()
+	})
+	f := c.Flags()
+	f.StringVar(&config.Model, "model", config.Model, "loaded model")
+	f.StringSliceVar(&config.Adapters, "adapters", nil, "loaded adapters")
+	f.IntVar(&config.Slots, "slots", config.Slots, "sequences in a batch")
+	f.DurationVar(&config.StepBase, "step-base", config.StepBase, "time of a step")
+	f.DurationVar(&config.StepPerSequence, "step-per-sequence", config.StepPerSequence, "time added to a step per sequence")
+	f.DurationVar(&config.PrefillPerToken, "prefill-per-token", config.PrefillPerToken, "time per uncached prompt token")
+	f.IntVar(&config.CachePrefixes, "cache-prefixes", config.CachePrefixes, "bound of the prefix cache, in blocks of 256 bytes")
+	f.DurationVar(&config.EventDelay, "event-delay", config.EventDelay, "how late cache events show")
+	f.Uint64Var(&config.EventGap, "event-gap", config.EventGap, "drop every n-th cache event; 0 drops none")
+	f.DurationVar(&config.LoadLag, "load-lag", config.LoadLag, "time between samples of the load report")
+	f.BoolVar(&config.ChecksFencing, "checks-fencing", false, "refuse orders with an old fencing number")
+	f.DurationVar(&config.OrderDelay, "order-delay", 0, "time until an order takes effect")
+	f.BoolVar(&config.CrashEnabled, "crash", false, "exit after the first token of a prompt with "+CrashMarker)
+	return c
+}
+
+func serviceCommand() *cobra.Command {
+	config := ServiceConfig{RunTime: 20 * time.Millisecond, Crash: exitCrashed}
+	c := command("service", "Plain service that counts its runs", func(context.Context) http.Handler {
+		return NewService(config).Handler()
+	})
+	c.Flags().DurationVar(&config.RunTime, "run-time", config.RunTime, "time of one call")
+	c.Flags().BoolVar(&config.CrashEnabled, "crash", false, "exit when a body has "+CrashMarker)
+	return c
+}
+
+func weightsCommand() *cobra.Command {
+	config := WeightsConfig{BytesPerSecond: 8 << 20, Queue: 4, ObjectBytes: 1 << 20}
+	c := command("weights", "Rate-limited weight store", func(context.Context) http.Handler {
+		return NewWeights(config).Handler()
+	})
+	c.Flags().IntVar(&config.BytesPerSecond, "rate", config.BytesPerSecond, "bytes per second over all readers")
+	c.Flags().IntVar(&config.Queue, "queue", config.Queue, "open reads; one more is refused")
+	c.Flags().IntVar(&config.ObjectBytes, "object-bytes", config.ObjectBytes, "size of an object when the call gives none")
+	return c
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,366 @@
+package standin
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Document is a document as the platform serves it.
+type Document struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted"`
+	Body     string `json:"body"`
+}
+
+// Listing is the platform's answer to reads and watches.
+type Listing struct {
+	Revision  uint64     `json:"revision"`
+	Documents []Document `json:"documents"`
+}
+
+// VM is an entry of the platform's VM list.
+type VM struct {
+	Name         string `json:"name"`
+	Role         string `json:"role"`
+	Address      string `json:"address"`
+	AdminAddress string `json:"admin_address"`
+	Zone         string `json:"zone"`
+	State        string `json:"state"`
+}
+
+// VMList is the platform's VM list. Its revision counts apart from that of the
+// documents.
+type VMList struct {
+	Revision uint64 `json:"revision"`
+	VMs      []VM   `json:"vms"`
+}
+
+// PlatformMode says how the platform answers.
+type PlatformMode string
+
+// Modes of the platform. Refuse answers 503, drop closes the connection, stale
+// answers from the state at the time the mode was set, slow waits before it
+// answers and hang never answers.
+const (
+	PlatformUp     PlatformMode = "up"
+	PlatformRefuse PlatformMode = "refuse"
+	PlatformDrop   PlatformMode = "drop"
+	PlatformStale  PlatformMode = "stale"
+	PlatformSlow   PlatformMode = "slow"
+	PlatformHang   PlatformMode = "hang"
+)
+
+// PlatformSettings is the body of POST /control/mode.
+type PlatformSettings struct {
+	Mode    PlatformMode `json:"mode"`
+	DelayMS int64        `json:"delay_ms"`
+}
+
+// maxWatch bounds how long a watch may wait.
+const maxWatch = time.Minute
+
+type timedVMs struct {
+	since time.Time
+	list  VMList
+}
+
+// Platform is the stand-in for the configuration service and the VM list.
+type Platform struct {
+	mu        sync.Mutex
+	revision  uint64
+	documents map[string]Document
+	changed   chan struct{}
+	vms       []timedVMs // oldest first; the first entry is always old enough to show
+	vmLag     time.Duration
+	settings  PlatformSettings
+	frozen    Listing
+	frozenVMs VMList
+	calls     map[string]int
+}
+
+// NewPlatform returns a platform without documents and VMs, in mode up.
+func NewPlatform() *Platform {
+	return &Platform{
+		documents: map[string]Document{},
+		changed:   make(chan struct{}),
+		vms:       []timedVMs{{list: VMList{VMs: []VM{}}}},
+		settings:  PlatformSettings{Mode: PlatformUp},
+		calls:     map[string]int{},
+	}
+}
+
+// Handler serves the platform protocol and the control paths.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/documents", p.public(p.serveDocuments))
+	mux.HandleFunc("GET /v1/watch", p.public(p.serveWatch))
+	mux.HandleFunc("GET /v1/vms", p.public(p.serveVMs))
+	mux.HandleFunc("POST /control/documents", p.controlPublish)
+	mux.HandleFunc("DELETE /control/documents/{name...}", p.controlDelete)
+	mux.HandleFunc("POST /control/vms", p.controlVMs)
+	mux.HandleFunc("POST /control/vm-state", p.controlVMState)
+	mux.HandleFunc("POST /control/mode", p.controlMode)
+	mux.HandleFunc("POST /control/vm-lag", p.controlVMLag)
+	mux.HandleFunc("GET /control/calls", p.controlCalls)
+	return mux
+}
+
+// Publish stores a document and returns its revision.
+func (p *Platform) Publish(name, body string) uint64 {
+	return p.put(Document{Name: name, Body: body})
+}
+
+// Delete replaces a document by a tombstone and returns its revision.
+func (p *Platform) Delete(name string) uint64 {
+	return p.put(Document{Name: name, Deleted: true})
+}
+
+func (p *Platform) put(d Document) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	d.Revision = p.revision
+	p.documents[d.Name] = d
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return p.revision
+}
+
+// public counts a call and applies the mode before the call is served.
+func (p *Platform) public(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.calls[r.URL.Path]++
+		s := p.settings
+		p.mu.Unlock()
+		switch s.Mode {
+		case PlatformRefuse:
+			http.Error(w, "platform is down", http.StatusServiceUnavailable)
+			return
+		case PlatformDrop:
+			panic(http.ErrAbortHandler)
+		case PlatformHang:
+			<-r.Context().Done()
+			return
+		case PlatformSlow:
+			if !sleep(r.Context(), time.Duration(s.DelayMS)*time.Millisecond) {
+				return
+			}
+		}
+		next(w, r)
+	}
+}
+
+func (p *Platform) serveDocuments(w http.ResponseWriter, _ *http.Request) {
+	listing, _ := p.list(0)
+	writeJSON(w, listing)
+}
+
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait, err := parseSeconds(r.FormValue("wait"))
+	if err != nil {
+		http.Error(w, "wait: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		listing, changed := p.list(after)
+		if len(listing.Documents) > 0 {
+			// A mode that was set while the watch waited applies to its answer too.
+			p.cutIfDown(w, r, listing)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			p.cutIfDown(w, r, listing)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) cutIfDown(w http.ResponseWriter, r *http.Request, listing Listing) {
+	p.mu.Lock()
+	mode := p.settings.Mode
+	p.mu.Unlock()
+	switch mode {
+	case PlatformRefuse, PlatformDrop:
+		panic(http.ErrAbortHandler)
+	case PlatformHang:
+		<-r.Context().Done()
+	default:
+		writeJSON(w, listing)
+	}
+}
+
+func parseSeconds(text string) (time.Duration, error) {
+	text = strings.TrimSuffix(text, "s")
+	if text == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, err
+	}
+	return min(max(0, time.Duration(seconds*float64(time.Second))), maxWatch), nil
+}
+
+// list returns the documents above a revision and a channel that is closed at
+// the next change.
+func (p *Platform) list(after uint64) (Listing, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.settings.Mode == PlatformStale {
+		return filter(p.frozen, after), p.changed
+	}
+	return filter(p.current(), after), p.changed
+}
+
+func (p *Platform) current() Listing {
+	l := Listing{Revision: p.revision, Documents: []Document{}}
+	for _, d := range p.documents {
+		l.Documents = append(l.Documents, d)
+	}
+	slices.SortFunc(l.Documents, func(a, b Document) int { return strings.Compare(a.Name, b.Name) })
+	return l
+}
+
+func filter(l Listing, after uint64) Listing {
+	kept := []Document{}
+	for _, d := range l.Documents {
+		if d.Revision > after {
+			kept = append(kept, d)
+		}
+	}
+	return Listing{Revision: l.Revision, Documents: kept}
+}
+
+func (p *Platform) serveVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	list := p.frozenVMs
+	if p.settings.Mode != PlatformStale {
+		list = p.shownVMs(time.Now())
+	}
+	p.mu.Unlock()
+	writeJSON(w, list)
+}
+
+// shownVMs returns the newest list that is at least the lag old and forgets
+// older ones.
+func (p *Platform) shownVMs(now time.Time) VMList {
+	shown := 0
+	for i, t := range p.vms {
+		if i == 0 || now.Sub(t.since) >= p.vmLag {
+			shown = i
+		}
+	}
+	p.vms = p.vms[shown:]
+	return p.vms[0].list
+}
+
+// SetVMs replaces the VM list; it shows after the lag.
+func (p *Platform) SetVMs(vms []VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setVMs(vms)
+}
+
+func (p *Platform) setVMs(vms []VM) {
+	newest := p.vms[len(p.vms)-1].list
+	if vms == nil {
+		vms = []VM{}
+	}
+	list := VMList{Revision: newest.Revision + 1, VMs: vms}
+	p.vms = append(p.vms, timedVMs{since: time.Now(), list: list})
+}
+
+func (p *Platform) controlPublish(w http.ResponseWriter, r *http.Request) {
+	var d Document
+	if readJSON(w, r, &d) {
+		writeJSON(w, Document{Name: d.Name, Revision: p.Publish(d.Name, d.Body)})
+	}
+}
+
+func (p *Platform) controlDelete(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	writeJSON(w, Document{Name: name, Revision: p.Delete(name), Deleted: true})
+}
+
+func (p *Platform) controlVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []VM
+	if readJSON(w, r, &vms) {
+		p.SetVMs(vms)
+	}
+}
+
+// controlVMState takes {name, state}; the state "gone" removes the VM.
+func (p *Platform) controlVMState(w http.ResponseWriter, r *http.Request) {
+	var change VM
+	if !readJSON(w, r, &change) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vms := slices.Clone(p.vms[len(p.vms)-1].list.VMs)
+	i := slices.IndexFunc(vms, func(v VM) bool { return v.Name == change.Name })
+	if i < 0 {
+		http.Error(w, "unknown VM "+change.Name, http.StatusNotFound)
+		return
+	}
+	if vms[i].State = change.State; change.State == "gone" {
+		vms = slices.Delete(vms, i, i+1)
+	}
+	p.setVMs(vms)
+}
+
+func (p *Platform) controlMode(w http.ResponseWriter, r *http.Request) {
+	var s PlatformSettings
+	if !readJSON(w, r, &s) {
+		return
+	}
+	switch s.Mode {
+	case PlatformUp, PlatformRefuse, PlatformDrop, PlatformStale, PlatformSlow, PlatformHang:
+	default:
+		http.Error(w, "unknown mode "+string(s.Mode), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.Mode == PlatformStale && p.settings.Mode != PlatformStale {
+		p.frozen, p.frozenVMs = p.current(), p.shownVMs(time.Now())
+	}
+	p.settings = s
+}
+
+func (p *Platform) controlVMLag(w http.ResponseWriter, r *http.Request) {
+	var lag struct {
+		MS int64 `json:"ms"`
+	}
+	if readJSON(w, r, &lag) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.shownVMs(time.Now()) // a list that already showed must not disappear again
+		p.vmLag = time.Duration(lag.MS) * time.Millisecond
+	}
+}
+
+func (p *Platform) controlCalls(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	calls := maps.Clone(p.calls)
+	p.mu.Unlock()
+	writeJSON(w, calls)
+}
