--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
@@ -24,7 +25,7 @@
 }
 
 // command returns a subcommand that serves what build returns until SIGTERM.
-func command(name, short string, build func(ctx context.Context) http.Handler) *cobra.Command {
+func command(name, short string, build func(ctx context.Context) (http.Handler, error)) *cobra.Command {
 	var address string
 	c := &cobra.Command{
 		Use:   name,
@@ -33,7 +34,11 @@
 		RunE: func(c *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGTERM, os.Interrupt)
 			defer stop()
-			return Serve(ctx, name, address, build(ctx), c.OutOrStdout())
+			handler, err := build(ctx)
+			if err != nil {
+				return err
+			}
+			return Serve(ctx, name, address, handler, c.OutOrStdout())
 		},
 	}
 	c.Flags().StringVar(&address, "listen", "127.0.0.1:0", "loopback address and port")
@@ -41,18 +46,18 @@
 }
 
 func platformCommand() *cobra.Command {
-	return command("platform", "Configuration service and VM list", func(context.Context) http.Handler {
-		return NewPlatform().Handler()
+	return command("platform", "Configuration service and VM list", func(context.Context) (http.Handler, error) {
+		return NewPlatform().Handler(), nil
 	})
 }
 
 func engineCommand() *cobra.Command {
 	config := DefaultEngineConfig()
 	config.Crash = exitCrashed
-	c := command("engine", "Model engine", func(ctx context.Context) http.Handler {
+	c := command("engine", "Model engine", func(ctx context.Context) (http.Handler, error) {
 		engine := NewEngine(config)
 		go engine.Run(ctx)
-		return engine.Handler()
+		return engine.Handler(), nil
 	})
 	f := c.Flags()
 	f.StringVar(&config.Model, "model", config.Model, "loaded model")
@@ -73,18 +78,27 @@
 
 func serviceCommand() *cobra.Command {
 	config := ServiceConfig{RunTime: 20 * time.Millisecond, Crash: exitCrashed}
-	c := command("service", "Plain service that counts its runs", func(context.Context) http.Handler {
-		return NewService(config).Handler()
+	var journal string
+	c := command("service", "Plain service that counts its runs", func(context.Context) (http.Handler, error) {
+		if journal != "" {
+			file, err := os.OpenFile(journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+			if err != nil {
+				return nil, fmt.Errorf("open journal: %w", err)
+			}
+			config.Journal = file
+		}
+		return NewService(config).Handler(), nil
 	})
 	c.Flags().DurationVar(&config.RunTime, "run-time", config.RunTime, "time of one call")
+	c.Flags().StringVar(&journal, "journal", "", "file that gets a line with the identifier of each run")
 	c.Flags().BoolVar(&config.CrashEnabled, "crash", false, "exit when a body has "+CrashMarker)
 	return c
 }
 
 func weightsCommand() *cobra.Command {
 	config := WeightsConfig{BytesPerSecond: 8 << 20, Queue: 4, ObjectBytes: 1 << 20}
-	c := command("weights", "Rate-limited weight store", func(context.Context) http.Handler {
-		return NewWeights(config).Handler()
+	c := command("weights", "Rate-limited weight store", func(context.Context) (http.Handler, error) {
+		return NewWeights(config).Handler(), nil
 	})
 	c.Flags().IntVar(&config.BytesPerSecond, "rate", config.BytesPerSecond, "bytes per second over all readers")
 	c.Flags().IntVar(&config.Queue, "queue", config.Queue, "open reads; one more is refused")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -224,10 +224,10 @@
 		arrival:  e.arrivals,
 		prompt:   r.Prompt,
 		position: first,
-		limit:    r.MaxTokens,
-		tokens:   make(chan struct{}, max(0, r.MaxTokens-first)),
+		limit:    first + r.MaxTokens,
+		tokens:   make(chan struct{}, r.MaxTokens),
 	}
-	if first < r.MaxTokens {
+	if r.MaxTokens > 0 {
 		e.sequences = append(e.sequences, s)
 	} else {
 		e.completed++
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -12,7 +12,8 @@
 )
 
 // CompletionRequest is the body of POST /v1/completions of an engine.
-// MaxTokens counts the whole answer, with the tokens of Generated.
+// MaxTokens counts the new tokens of this call; zero is allowed and answers the
+// end alone, for a caller that already has the whole text.
 type CompletionRequest struct {
 	Model     string `json:"model"`
 	Adapter   string `json:"adapter"`
@@ -56,15 +57,15 @@
 		http.Error(w, problem, http.StatusNotFound)
 		return
 	}
-	if request.MaxTokens < 1 || request.MaxTokens > maxTokens {
-		http.Error(w, fmt.Sprintf("max_tokens must be from 1 to %d", maxTokens), http.StatusBadRequest)
+	if request.MaxTokens < 0 || request.MaxTokens > maxTokens {
+		http.Error(w, fmt.Sprintf("max_tokens must be from 0 to %d", maxTokens), http.StatusBadRequest)
 		return
 	}
 	first := TokenCount(request.Generated)
 	s := e.add(request, first)
 	defer e.cancel(s)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for position := first; position < request.MaxTokens; position++ {
+	for position := first; position < s.limit; position++ {
 		select {
 		case <-s.tokens:
 		case <-r.Context().Done():
@@ -73,28 +74,28 @@
 		if !e.stall.wait(r.Context()) {
 			return
 		}
-		writeEvent(w, e.event(request, s, first, position))
+		writeEvent(w, e.event(request, s, position))
 		if e.crashes(request.Prompt) {
 			e.config.Crash()
 		}
 	}
-	if first >= request.MaxTokens {
+	if request.MaxTokens == 0 {
 		reason := "length"
 		writeEvent(w, CompletionEvent{Choices: []Choice{{FinishReason: &reason}}, Usage: &Usage{PromptTokens: len(request.Prompt) / bytesPerToken}})
 	}
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-func (e *Engine) event(request CompletionRequest, s *sequence, first, position int) CompletionEvent {
+func (e *Engine) event(request CompletionRequest, s *sequence, position int) CompletionEvent {
 	choice := Choice{Text: Token(request.Model, request.Prompt, position)}
 	event := CompletionEvent{}
-	if position == request.MaxTokens-1 {
+	if position == s.limit-1 {
 		reason := "length"
 		choice.FinishReason = &reason
 		e.mu.Lock()
 		cached := s.cached
 		e.mu.Unlock()
-		event.Usage = &Usage{PromptTokens: len(request.Prompt) / bytesPerToken, CompletionTokens: request.MaxTokens - first, CachedTokens: cached}
+		event.Usage = &Usage{PromptTokens: len(request.Prompt) / bytesPerToken, CompletionTokens: request.MaxTokens, CachedTokens: cached}
 	}
 	event.Choices = []Choice{choice}
 	return event
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -22,6 +22,9 @@
 	CrashEnabled bool
 	// Crash ends the process.
 	Crash func()
+	// Journal gets one line with the identifier of each run when it begins, so
+	// that the counts survive the process. Nil keeps none.
+	Journal io.Writer
 }
 
 // RunCounts is what GET /control/counts answers. A run counts when it begins,
@@ -125,6 +128,9 @@
 	}
 	if id := identifier(r, body); id != "" {
 		s.counts.ByIdentifier[id]++
+		if s.config.Journal != nil {
+			_, _ = fmt.Fprintln(s.config.Journal, id)
+		}
 	}
 	return s.run
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -161,12 +161,15 @@
 	is.True(done)
 	is.Equal(whole, want)
 	first := Text("small", "hello", 5)
-	rest, done := complete(t.Context(), url, CompletionRequest{Model: "small", Prompt: "hello", Generated: first, MaxTokens: 12, RequestID: "r"})
+	rest, done := complete(t.Context(), url, CompletionRequest{Model: "small", Prompt: "hello", Generated: first, MaxTokens: 7, RequestID: "r"})
 	is.True(done)
 	is.Equal(first+rest, want)
+	rest, done = complete(t.Context(), url, CompletionRequest{Model: "small", Prompt: "hello", Generated: want, RequestID: "r"})
+	is.True(done)
+	is.Equal(rest, "")
 	var counts EngineCounts
 	call(t, "GET", url+"/control/counts", nil, &counts)
-	is.Equal(counts.Runs["r"], 2)
+	is.Equal(counts.Runs["r"], 3)
 }
 
 // Guards against a canceled request that keeps its slot.
