Add a harness that runs a whole fleet on loopback, and a caller's client

Ruled out: one relay port per pair of processes. An entry VM sends from its own peer address, so one relay per process tells senders apart and cuts single pairs.

The client concludes not_run only if no earlier attempt may have run, or if the ticket is spent.

--- /dev/null
+++ b/integration/harness/fleet.go
@@ -0,0 +1,503 @@
+package harness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/standin"
+)
+
+// Entry is an entry VM of the fleet.
+type Entry struct {
+	*Process
+	Settings settings.EntryConfig
+	// Relay is in front of the peer address; nil without UDPFaults.
+	Relay *UDPRelay
+	// PlatformFaults is between the entry VM and the platform; nil without
+	// TCPFaults.
+	PlatformFaults *TCPProxy
+}
+
+// Agent is an agent of the fleet with its backend server.
+type Agent struct {
+	*Process
+	Settings settings.AgentConfig
+	Backend  *Process
+	// BackendURL is the stand-in's own URL, without a proxy in between.
+	BackendURL string
+	// Relay is in front of the peer address; nil without UDPFaults.
+	Relay *UDPRelay
+	// BackendFaults is between the agent and its backend server; nil without
+	// TCPFaults.
+	BackendFaults *TCPProxy
+
+	journal string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Dir         string
+	Platform    *Process
+	PlatformURL string
+	Entries     []*Entry
+	Agents      []*Agent
+	AdminKey    string
+
+	options   Options
+	ports     ports
+	removeDir bool
+}
+
+// Start starts a fleet and waits until it serves. After an error nothing runs.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"zone-1"}
+	}
+	if o.ReadyTimeout == 0 {
+		o.ReadyTimeout = defaultReadyTimeout
+	}
+	f := &Fleet{Dir: o.Dir, options: o, ports: ports{used: map[int]bool{}}}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.options.ReadyTimeout)
+	defer cancel()
+	if err := f.provision(ctx); err != nil {
+		return err
+	}
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	for i, spec := range f.options.Agents {
+		if err := f.prepareAgent(i, spec); err != nil {
+			return err
+		}
+	}
+	for i := range f.options.Entries {
+		if err := f.prepareEntry(i); err != nil {
+			return err
+		}
+	}
+	if err := f.writeSettings(); err != nil {
+		return err
+	}
+	if err := f.publishAll(ctx); err != nil {
+		return err
+	}
+	if err := f.startAll(); err != nil {
+		return err
+	}
+	return f.WaitReady(ctx)
+}
+
+// provision makes the directory and the keys.
+func (f *Fleet) provision(ctx context.Context) error {
+	if f.Dir == "" {
+		dir, err := os.MkdirTemp("", "coltsfootbay-fleet-")
+		if err != nil {
+			return err
+		}
+		f.Dir, f.removeDir = dir, true
+	}
+	output, err := exec.CommandContext(ctx, f.binary("coltsfootbay"), "keys", f.keysDir()).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("make keys: %w: %s", err, output)
+	}
+	key, err := os.ReadFile(f.keys().Admin)
+	if err != nil {
+		return fmt.Errorf("read the administration key: %w", err)
+	}
+	f.AdminKey = strings.TrimSpace(string(key))
+	return nil
+}
+
+func (f *Fleet) binary(name string) string { return filepath.Join(f.options.Bin, name) }
+
+func (f *Fleet) keysDir() string { return filepath.Join(f.Dir, "keys") }
+
+func (f *Fleet) keys() settings.Keys {
+	return settings.Keys{
+		Certificate: filepath.Join(f.keysDir(), "certificate.pem"),
+		Key:         filepath.Join(f.keysDir(), "key.pem"),
+		Authority:   filepath.Join(f.keysDir(), "authority.pem"),
+		Ticket:      filepath.Join(f.keysDir(), "ticket.keys"),
+		Admin:       filepath.Join(f.keysDir(), "admin.key"),
+	}
+}
+
+func (f *Fleet) zone(i int, wanted string) string {
+	if wanted != "" {
+		return wanted
+	}
+	return f.options.Zones[i%len(f.options.Zones)]
+}
+
+func (f *Fleet) startPlatform() error {
+	address, err := f.ports.tcp()
+	if err != nil {
+		return err
+	}
+	f.Platform = newProcess(f.Dir, "platform", f.binary("standin"), "platform", "--listen", address)
+	f.PlatformURL = "http://" + address
+	if err := f.Platform.Start(); err != nil {
+		return err
+	}
+	return f.Platform.waitListening(address, f.options.ReadyTimeout)
+}
+
+// peerAddress returns the address to bind and, with UDPFaults, a relay in front
+// of it.
+func (f *Fleet) peerAddress() (string, *UDPRelay, error) {
+	own, err := f.ports.udp()
+	if err != nil || !f.options.UDPFaults {
+		return own, nil, err
+	}
+	front, err := f.ports.udp()
+	if err != nil {
+		return "", nil, err
+	}
+	relay, err := NewUDPRelay(front, own)
+	return own, relay, err
+}
+
+// proxy returns a TCP proxy in front of a target, or nil without TCPFaults.
+func (f *Fleet) proxy(name, target string) (*TCPProxy, error) {
+	if !f.options.TCPFaults {
+		return nil, nil
+	}
+	front, err := f.ports.tcp()
+	if err != nil {
+		return nil, err
+	}
+	return NewTCPProxy(name, front, target)
+}
+
+func (f *Fleet) prepareAgent(i int, spec AgentSpec) error {
+	name := fmt.Sprintf("agent-%d", i+1)
+	backend, err := f.ports.tcp()
+	if err != nil {
+		return err
+	}
+	admin, err := f.ports.tcp()
+	if err != nil {
+		return err
+	}
+	peer, relay, err := f.peerAddress()
+	if err != nil {
+		return err
+	}
+	a := &Agent{BackendURL: "http://" + backend, Relay: relay}
+	f.Agents = append(f.Agents, a)
+	if a.BackendFaults, err = f.proxy(name+"-backend", backend); err != nil {
+		return err
+	}
+	c := settings.DefaultAgentConfig()
+	c.Name, c.Zone = name, f.zone(i, spec.Zone)
+	c.PeerAddress, c.AdminAddress = peer, admin
+	c.BackendServer.Kind, c.BackendServer.Name, c.BackendServer.URL = spec.Kind, spec.Backend, a.BackendURL
+	if a.BackendFaults != nil {
+		c.BackendServer.URL = "http://" + a.BackendFaults.Address()
+	}
+	c.BackendServer.Slots = defaultSlots
+	if spec.Slots > 0 {
+		c.BackendServer.Slots = spec.Slots
+	}
+	c.Keys = f.keys()
+	if f.options.AgentSettings != nil {
+		f.options.AgentSettings(&c)
+	}
+	a.Settings = c
+	a.Process = newProcess(f.Dir, name, f.binary("coltsfootbay"), "agent", "--settings", f.settingsFile(name))
+	a.Backend = f.backend(a, spec, backend)
+	return nil
+}
+
+func (f *Fleet) backend(a *Agent, spec AgentSpec, address string) *Process {
+	name := a.Name + "-backend"
+	args := []string{"engine", "--listen", address, "--model", spec.Backend, "--slots", strconv.Itoa(a.Settings.BackendServer.Slots)}
+	if spec.Kind == settings.KindService {
+		a.journal = filepath.Join(f.Dir, name+".runs")
+		args = []string{"service", "--listen", address, "--journal", a.journal}
+	}
+	return newProcess(f.Dir, name, f.binary("standin"), append(args, spec.Arguments...)...)
+}
+
+func (f *Fleet) prepareEntry(i int) error {
+	name := fmt.Sprintf("entry-%d", i+1)
+	caller, err := f.ports.tcp()
+	if err != nil {
+		return err
+	}
+	admin, err := f.ports.tcp()
+	if err != nil {
+		return err
+	}
+	peer, relay, err := f.peerAddress()
+	if err != nil {
+		return err
+	}
+	e := &Entry{Relay: relay}
+	f.Entries = append(f.Entries, e)
+	if e.PlatformFaults, err = f.proxy(name+"-platform", strings.TrimPrefix(f.PlatformURL, "http://")); err != nil {
+		return err
+	}
+	c := settings.DefaultEntryConfig()
+	c.Name, c.Zone = name, f.zone(i, "")
+	c.CallerAddress, c.PeerAddress, c.AdminAddress = caller, peer, admin
+	c.PlatformURL = f.PlatformURL
+	if e.PlatformFaults != nil {
+		c.PlatformURL = "http://" + e.PlatformFaults.Address()
+	}
+	c.Keys = f.keys()
+	e.Settings = c
+	e.Process = newProcess(f.Dir, name, f.binary("coltsfootbay"), "entry", "--settings", f.settingsFile(name))
+	return nil
+}
+
+// ReachableAddress returns the address at which others reach the entry VM: the
+// relay's if there is one.
+func (e *Entry) ReachableAddress() string { return reachable(e.Settings.PeerAddress, e.Relay) }
+
+// ReachableAddress returns the address at which others reach the agent: the
+// relay's if there is one.
+func (a *Agent) ReachableAddress() string { return reachable(a.Settings.PeerAddress, a.Relay) }
+
+func reachable(own string, relay *UDPRelay) string {
+	if relay != nil {
+		return relay.Address()
+	}
+	return own
+}
+
+// maxSeeds bounds the seeds of an entry VM.
+const maxSeeds = 3
+
+func (f *Fleet) writeSettings() error {
+	for _, e := range f.Entries {
+		for _, peer := range f.Entries {
+			if peer != e && len(e.Settings.Seeds) < maxSeeds {
+				e.Settings.Seeds = append(e.Settings.Seeds, peer.ReachableAddress())
+			}
+		}
+		if f.options.EntrySettings != nil {
+			f.options.EntrySettings(&e.Settings)
+		}
+		if err := os.WriteFile(f.settingsFile(e.Name), []byte(encode(e.Settings)), 0o600); err != nil {
+			return err
+		}
+	}
+	for _, a := range f.Agents {
+		if err := os.WriteFile(f.settingsFile(a.Name), []byte(encode(a.Settings)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) settingsFile(name string) string { return filepath.Join(f.Dir, name+".toml") }
+
+func (f *Fleet) publishAll(ctx context.Context) error {
+	for _, d := range f.options.documents() {
+		if _, err := f.Publish(ctx, d.Name, d.Body); err != nil {
+			return err
+		}
+	}
+	return f.SetVMs(ctx, f.VMs())
+}
+
+// VMs returns the VM list with every entry VM and agent live.
+func (f *Fleet) VMs() []standin.VM {
+	var vms []standin.VM
+	for _, e := range f.Entries {
+		vms = append(vms, standin.VM{Name: e.Name, Role: "entry", Address: e.ReachableAddress(), AdminAddress: e.Settings.AdminAddress, Zone: e.Settings.Zone, State: "live"})
+	}
+	for _, a := range f.Agents {
+		vms = append(vms, standin.VM{Name: a.Name, Role: "agent", Address: a.ReachableAddress(), AdminAddress: a.Settings.AdminAddress, Zone: a.Settings.Zone, State: "live"})
+	}
+	return vms
+}
+
+func (f *Fleet) startAll() error {
+	for _, a := range f.Agents {
+		if err := a.Backend.Start(); err != nil {
+			return err
+		}
+	}
+	for _, a := range f.Agents {
+		if err := a.Backend.waitListening(strings.TrimPrefix(a.BackendURL, "http://"), f.options.ReadyTimeout); err != nil {
+			return err
+		}
+		if err := a.Start(); err != nil {
+			return err
+		}
+	}
+	for _, e := range f.Entries {
+		if err := e.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until every process is ready, every entry VM names all entry
+// VMs, and every entry VM reaches every model and service.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, a := range f.Agents {
+		if err := f.waitProcess(ctx, a.Process, a.Settings.AdminAddress); err != nil {
+			return err
+		}
+	}
+	for _, e := range f.Entries {
+		if err := f.waitProcess(ctx, e.Process, e.Settings.AdminAddress); err != nil {
+			return err
+		}
+	}
+	for _, e := range f.Entries {
+		if err := poll(ctx, func() error { return f.entryServes(ctx, e) }); err != nil {
+			return fmt.Errorf("%s does not serve the whole fleet: %w\n%s", e.Name, err, tail(e.Log()))
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) waitProcess(ctx context.Context, p *Process, admin string) error {
+	err := poll(ctx, func() error {
+		if !p.Running() {
+			return errProcessEnded
+		}
+		return getJSON(ctx, "http://"+admin+"/readyz", nil)
+	})
+	if err != nil {
+		return fmt.Errorf("%s is not ready: %w\n%s", p.Name, err, tail(p.Log()))
+	}
+	return nil
+}
+
+// entryServes checks the address answer and that each template's models and
+// services can be reached: a model by a completion of one token, a service by
+// a ticket that is not used.
+func (f *Fleet) entryServes(ctx context.Context, e *Entry) error {
+	for _, account := range f.options.Accounts {
+		client := NewClient([]string{e.Settings.CallerAddress}, account.Key, "")
+		addresses, _, err := client.Addresses(ctx)
+		if err != nil {
+			return err
+		}
+		if len(addresses) != f.runningEntries() {
+			return fmt.Errorf("the address answer has %d entry VMs, want %d", len(addresses), f.runningEntries())
+		}
+		if err := f.accountServed(ctx, client, account); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) runningEntries() int {
+	n := 0
+	for _, e := range f.Entries {
+		if e.Running() {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *Fleet) accountServed(ctx context.Context, client *Client, account AccountSpec) error {
+	for _, t := range f.options.Templates {
+		if t.Name != account.Template {
+			continue
+		}
+		for _, model := range t.Models {
+			o := client.Complete(ctx, Completion{Model: model, Prompt: "ready", MaxTokens: 1, MaxAttempts: 1})
+			if !o.Complete {
+				return fmt.Errorf("model %s: %s", model, o)
+			}
+		}
+		for _, service := range t.Services {
+			if ticket, o := client.Ticket(ctx, service, ""); ticket == "" {
+				return fmt.Errorf("ticket for %s: %s", service, o)
+			}
+		}
+	}
+	return nil
+}
+
+var errProcessEnded = errors.New("the process ended")
+
+// poll repeats try until it succeeds, the process has ended or ctx is done.
+func poll(ctx context.Context, try func() error) error {
+	for {
+		err := try()
+		if err == nil || errors.Is(err, errProcessEnded) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// tailBytes is how much of a log goes into an error.
+const tailBytes = 4 << 10
+
+func tail(log string) string { return log[max(0, len(log)-tailBytes):] }
+
+// Client returns a caller's client with an account's key that knows all entry
+// VMs' addresses. An unknown account gets a key that no account has.
+func (f *Fleet) Client(account string) *Client {
+	key := "unknown"
+	for _, a := range f.options.Accounts {
+		if a.ID == account {
+			key = a.Key
+		}
+	}
+	var addresses []string
+	for _, e := range f.Entries {
+		addresses = append(addresses, e.Settings.CallerAddress)
+	}
+	return NewClient(addresses, key, "")
+}
+
+// Close kills every process and removes a temporary directory.
+func (f *Fleet) Close() {
+	for _, e := range f.Entries {
+		closeAll(e.Process, nil, e.Relay, e.PlatformFaults)
+	}
+	for _, a := range f.Agents {
+		closeAll(a.Process, a.Backend, a.Relay, a.BackendFaults)
+	}
+	closeAll(f.Platform, nil, nil, nil)
+	if f.removeDir {
+		_ = os.RemoveAll(f.Dir)
+	}
+}
+
+func closeAll(process, backend *Process, relay *UDPRelay, proxy *TCPProxy) {
+	for _, p := range []*Process{process, backend} {
+		if p != nil {
+			p.Kill()
+		}
+	}
+	if relay != nil {
+		relay.Close()
+	}
+	if proxy != nil {
+		proxy.Close()
+	}
+}
--- /dev/null
+++ b/integration/harness/stream.go
@@ -0,0 +1,244 @@
+package harness
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// Completion is a completion call.
+type Completion struct {
+	Model     string
+	Adapter   string
+	Prompt    string
+	MaxTokens int
+	// Whole asks for one JSON answer in place of a stream.
+	Whole bool
+	// Rank lowers the account's rank if it is not empty.
+	Rank string
+	// MaxAttempts bounds the attempts, resumes included; zero means 6.
+	MaxAttempts int
+	// StopAfter makes the client close the connection after this many parts
+	// and return an outcome that Resume can continue; zero reads to the end.
+	StopAfter int
+	// OnPart is called for each new part; it may be nil.
+	OnPart func(number int, text string)
+}
+
+type completionBody struct {
+	Model     string      `json:"model"`
+	Adapter   string      `json:"adapter,omitempty"`
+	Prompt    string      `json:"prompt"`
+	MaxTokens int         `json:"max_tokens"`
+	Stream    bool        `json:"stream"`
+	Resume    *resumeBody `json:"resume,omitempty"`
+}
+
+type resumeBody struct {
+	StreamToken string `json:"stream_token"`
+	NextPart    int    `json:"next_part"`
+	Generated   string `json:"generated"`
+}
+
+// Complete sends a completion, reads the answer and resumes a cut stream
+// through another entry VM. Refusals with not_run are tried again.
+func (c *Client) Complete(ctx context.Context, call Completion) Outcome {
+	return c.complete(ctx, call, Outcome{})
+}
+
+// Resume continues the stream of an earlier outcome through the next entry VM.
+func (c *Client) Resume(ctx context.Context, call Completion, earlier Outcome) Outcome {
+	return c.complete(ctx, call, earlier)
+}
+
+func (c *Client) complete(ctx context.Context, call Completion, o Outcome) Outcome {
+	ctx, cancel := bounded(ctx)
+	defer cancel()
+	limit := call.MaxAttempts
+	if limit == 0 {
+		limit = defaultAttempts
+	}
+	began := time.Now()
+	for attempt := range limit {
+		stopped := c.completeOnce(ctx, call, &o, began)
+		last := o.Attempts[len(o.Attempts)-1]
+		if o.Complete || stopped || refusedForGood(last) || attempt == limit-1 || !wait(ctx, last) {
+			break
+		}
+	}
+	if !o.Complete {
+		o.Verdict = worstVerdict(o.Attempts)
+	}
+	o.Duration = time.Since(began)
+	return o
+}
+
+func refusedForGood(a Attempt) bool {
+	return a.Status >= 400 && a.Status < 500 && a.Status != http.StatusTooManyRequests
+}
+
+// worstVerdict is not_run only if every attempt was.
+func worstVerdict(attempts []Attempt) verdict.Verdict {
+	for _, a := range attempts {
+		if a.Verdict != verdict.NotRun {
+			return verdict.MayHaveRun
+		}
+	}
+	return verdict.NotRun
+}
+
+// completeOnce makes one attempt and reports whether the caller stopped it.
+func (c *Client) completeOnce(ctx context.Context, call Completion, o *Outcome, began time.Time) (stopped bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, attempt := c.open(ctx, call.request(*o))
+	if response == nil {
+		o.add(attempt)
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if id := response.Header.Get("Request-Id"); id != "" {
+		o.RequestID = id
+	}
+	contentType, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	if contentType == "text/event-stream" {
+		stopped = call.readStream(response.Body, o, &attempt, began)
+		o.add(attempt)
+		return stopped
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	switch {
+	case err != nil:
+		attempt.Err, attempt.Verdict = err, verdict.MayHaveRun
+	case response.StatusCode != http.StatusOK:
+		attempt.refusal(response.Header, body, o)
+	default:
+		o.readWhole(body, &attempt, began)
+	}
+	o.add(attempt)
+	return false
+}
+
+func (call Completion) request(o Outcome) request {
+	body := completionBody{Model: call.Model, Adapter: call.Adapter, Prompt: call.Prompt, MaxTokens: call.MaxTokens, Stream: !call.Whole}
+	if o.StreamToken != "" {
+		body.Resume = &resumeBody{StreamToken: o.StreamToken, NextPart: o.NextPart, Generated: o.Text}
+	}
+	data, _ := json.Marshal(body)
+	header := http.Header{"Content-Type": {"application/json"}}
+	if !call.Whole {
+		header.Set("Accept", "text/event-stream")
+	}
+	if call.Rank != "" {
+		header.Set("Request-Rank", call.Rank)
+	}
+	return request{method: http.MethodPost, path: "/v1/completions", header: header, body: data}
+}
+
+// answer is a whole answer or the data of one event of a stream.
+type answer struct {
+	StreamToken string `json:"stream_token"`
+	Choices     []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	// Error ends a stream that cannot be answered in full.
+	Error *problem `json:"error"`
+}
+
+func (a answer) text() string {
+	if len(a.Choices) == 0 {
+		return ""
+	}
+	return a.Choices[0].Text
+}
+
+func (o *Outcome) readWhole(body []byte, attempt *Attempt, began time.Time) {
+	var a answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		attempt.Err, attempt.Verdict = err, verdict.MayHaveRun
+		return
+	}
+	o.Text, o.Complete = a.text(), true
+	o.FirstToken = time.Since(began)
+	attempt.Verdict = verdict.Completed
+}
+
+// errStreamCut tells that a stream ended without [DONE].
+var errStreamCut = errors.New("the stream ended before [DONE]")
+
+// readStream reads events until the end or until the caller wants to stop.
+func (call Completion) readStream(body io.Reader, o *Outcome, attempt *Attempt, began time.Time) (stopped bool) {
+	attempt.Verdict = verdict.MayHaveRun
+	attempt.Err = errStreamCut
+	scanner := bufio.NewScanner(body)
+	scanner.Buffer(nil, maxAnswerBytes)
+	number, parts := -1, 0
+	for scanner.Scan() {
+		field, value, _ := strings.Cut(scanner.Text(), ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "id":
+			if n, err := strconv.Atoi(value); err == nil {
+				number = n
+			}
+		case "data":
+			if value == "[DONE]" {
+				o.Complete, attempt.Verdict, attempt.Err = true, verdict.Completed, nil
+				return false
+			}
+			var a answer
+			if err := json.Unmarshal([]byte(value), &a); err != nil {
+				attempt.Err = err
+				return false
+			}
+			if a.Error != nil {
+				attempt.Reason, attempt.Verdict, attempt.Err = a.Error.Reason, a.Error.Verdict, nil
+				return false
+			}
+			call.part(number, a, o, began)
+			number = -1
+			if parts++; call.StopAfter > 0 && parts >= call.StopAfter {
+				attempt.Err = nil
+				return true
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		attempt.Err = err
+	}
+	return false
+}
+
+// part adds one event to the outcome. An event without a number is no part.
+func (call Completion) part(number int, a answer, o *Outcome, began time.Time) {
+	if a.StreamToken != "" {
+		o.StreamToken = a.StreamToken
+	}
+	switch {
+	case number < 0:
+		return
+	case number < o.NextPart:
+		o.RepeatedParts++
+		return
+	case number > o.NextPart:
+		o.MissingParts += number - o.NextPart
+	}
+	elapsed := time.Since(began)
+	if o.FirstToken == 0 {
+		o.FirstToken = elapsed
+	}
+	o.PartTimes = append(o.PartTimes, elapsed)
+	o.NextPart = number + 1
+	o.Text += a.text()
+	if call.OnPart != nil {
+		call.OnPart(number, a.text())
+	}
+}
--- /dev/null
+++ b/integration/harness/udprelay.go
@@ -0,0 +1,182 @@
+package harness
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// LinkFault says what a UDP relay does with the packets of one direction.
+type LinkFault struct {
+	// Cut drops every packet.
+	Cut bool
+	// Drop is the part of packets that is dropped, from 0 to 1.
+	Drop float64
+	// Delay holds every packet back.
+	Delay time.Duration
+}
+
+// maxPacket is the largest UDP packet.
+const maxPacket = 64 << 10
+
+// maxRelayPeers bounds the sockets of one relay.
+const maxRelayPeers = 256
+
+// UDPRelay passes packets between the processes that send to its address and
+// one target. Each sender gets a socket of its own towards the target, so the
+// target tells senders apart.
+type UDPRelay struct {
+	front  *net.UDPConn
+	target netip.AddrPort
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*net.UDPConn
+	// faults are by sender; the zero address holds the default.
+	toTarget   map[netip.AddrPort]LinkFault
+	fromTarget map[netip.AddrPort]LinkFault
+	closed     bool
+}
+
+// NewUDPRelay listens on a loopback address and passes packets to target.
+func NewUDPRelay(listen, target string) (*UDPRelay, error) {
+	front, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return nil, err
+	}
+	back, err := netip.ParseAddrPort(target)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(front))
+	if err != nil {
+		return nil, err
+	}
+	r := &UDPRelay{
+		front:      conn,
+		target:     back,
+		peers:      map[netip.AddrPort]*net.UDPConn{},
+		toTarget:   map[netip.AddrPort]LinkFault{},
+		fromTarget: map[netip.AddrPort]LinkFault{},
+	}
+	go r.forward()
+	return r, nil
+}
+
+// Address returns the address that senders use in place of the target's.
+func (r *UDPRelay) Address() string { return r.front.LocalAddr().String() }
+
+// SetFaults sets the faults of both directions for every sender without faults
+// of its own.
+func (r *UDPRelay) SetFaults(toTarget, fromTarget LinkFault) {
+	r.set(netip.AddrPort{}, toTarget, fromTarget)
+}
+
+// SetFaultsFor sets the faults of both directions for one sender, which is
+// known by its own peer address.
+func (r *UDPRelay) SetFaultsFor(sender string, toTarget, fromTarget LinkFault) error {
+	address, err := netip.ParseAddrPort(sender)
+	if err != nil {
+		return err
+	}
+	r.set(address, toTarget, fromTarget)
+	return nil
+}
+
+// Heal removes all faults.
+func (r *UDPRelay) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.toTarget)
+	clear(r.fromTarget)
+}
+
+func (r *UDPRelay) set(sender netip.AddrPort, toTarget, fromTarget LinkFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.toTarget[sender] = toTarget
+	r.fromTarget[sender] = fromTarget
+}
+
+// Close stops the relay.
+func (r *UDPRelay) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	_ = r.front.Close()
+	for _, c := range r.peers {
+		_ = c.Close()
+	}
+}
+
+func (r *UDPRelay) forward() {
+	buffer := make([]byte, maxPacket)
+	for {
+		n, sender, err := r.front.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		back := r.peer(sender)
+		if back == nil {
+			continue
+		}
+		r.pass(r.toTarget, sender, buffer[:n], func(packet []byte) { _, _ = back.Write(packet) })
+	}
+}
+
+// peer returns the sender's socket towards the target, or nil at the bound.
+func (r *UDPRelay) peer(sender netip.AddrPort) *net.UDPConn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok := r.peers[sender]; ok {
+		return c
+	}
+	if r.closed || len(r.peers) >= maxRelayPeers {
+		return nil
+	}
+	c, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(r.target))
+	if err != nil {
+		return nil
+	}
+	r.peers[sender] = c
+	go r.backward(sender, c)
+	return c
+}
+
+func (r *UDPRelay) backward(sender netip.AddrPort, c *net.UDPConn) {
+	buffer := make([]byte, maxPacket)
+	for {
+		n, err := c.Read(buffer)
+		if err != nil {
+			r.mu.Lock()
+			closed := r.closed
+			r.mu.Unlock()
+			if closed {
+				return
+			}
+			// The target does not listen at the moment: it was killed and may
+			// come back on the same address.
+			time.Sleep(pollInterval)
+			continue
+		}
+		r.pass(r.fromTarget, sender, buffer[:n], func(packet []byte) { _, _ = r.front.WriteToUDPAddrPort(packet, sender) })
+	}
+}
+
+func (r *UDPRelay) pass(faults map[netip.AddrPort]LinkFault, sender netip.AddrPort, packet []byte, send func([]byte)) {
+	r.mu.Lock()
+	fault, ok := faults[sender]
+	if !ok {
+		fault = faults[netip.AddrPort{}]
+	}
+	r.mu.Unlock()
+	switch {
+	case fault.Cut, fault.Drop > 0 && rand.Float64() < fault.Drop:
+	case fault.Delay > 0:
+		held := append([]byte(nil), packet...)
+		time.AfterFunc(fault.Delay, func() { send(held) })
+	default:
+		send(packet)
+	}
+}
