Add the demo

Cause: a newcomer and the maintainers need one command that shows the promises under two failures.

Ruled out: checking promises alone.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 	$(GO) test -count=1 $$($(GO) list ./... | grep -v '/integration$$')
 
 test: fmt-check vet lint build unit
+
+demo: build
+	$(BIN)/demo --bin $(BIN)
