--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,251 @@
+// Package queue orders an agent's waiting requests: by rank with floors, and
+// fairly by client account inside a rank.
+package queue
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// Ordering selects how waiting items are ordered.
+type Ordering int
+
+// Orderings. FIFO and Strict are baselines for measurements: they refuse only
+// at the bounds of the queue.
+const (
+	Fair Ordering = iota
+	FIFO
+	Strict
+)
+
+// minWeight keeps an account without a share from waiting for ever.
+const minWeight = 0.001
+
+// Options are the parameters of a Queue.
+type Options struct {
+	// Items and Bytes bound the waiting items.
+	Items int
+	Bytes int64
+	// Slots is how many items run at a time.
+	Slots int
+	// Floors holds each rank's part of token time, from 0 to 1.
+	Floors [fleet.RankCount]float64
+	// Rate returns the server's tokens per second; 0 means unknown.
+	Rate     func() float64
+	Ordering Ordering
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Item is one request in the queue. The exported fields are set by the caller
+// before Push and not changed later.
+type Item struct {
+	Account fleet.ClientAccount
+	// Weight is the account's effective share, from 0 to 1.
+	Weight float64
+	Rank   fleet.Rank
+	// Tokens is the estimated work; Bytes is the size of the request.
+	Tokens int64
+	Bytes  int64
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// FirstToken is the latency target and MaxAge the age from which a bottom
+	// item goes next; zero means none.
+	FirstToken time.Duration
+	MaxAge     time.Duration
+	// Suspect tells whether the request may crash its server; nil means never.
+	Suspect func() bool
+
+	ready    chan struct{}
+	refused  *verdict.Error
+	sequence uint64
+	arrived  time.Time
+	class    fleet.Rank
+	suspect  bool
+	waiting  bool
+}
+
+// Ready is closed when the item may run or was pushed out; see Refused.
+func (i *Item) Ready() <-chan struct{} { return i.ready }
+
+// Refused returns why the item was pushed out, or nil if it may run. It is
+// valid after Ready is closed.
+func (i *Item) Refused() *verdict.Error { return i.refused }
+
+// Stats describes the queue.
+type Stats struct {
+	Queued  int
+	Running int
+	// Tokens is the estimated work that waits or runs.
+	Tokens int64
+	ByRank [fleet.RankCount]int
+}
+
+// Queue is safe for concurrent use.
+type Queue struct {
+	options Options
+
+	mu       sync.Mutex
+	accounts map[fleet.ClientAccount]*account
+	// virtual is the virtual time per class.
+	virtual  [fleet.RankCount]float64
+	served   [fleet.RankCount]window
+	sequence uint64
+	stats    Stats
+	queued   [fleet.RankCount]int64
+	bytes    int64
+	suspects int
+}
+
+// New returns an empty queue.
+func New(o Options) *Queue {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Rate == nil {
+		o.Rate = func() float64 { return 0 }
+	}
+	return &Queue{options: o, accounts: map[fleet.ClientAccount]*account{}}
+}
+
+// Push adds an item, or refuses it if the queue is full or the estimated wait
+// is too long.
+func (q *Queue) Push(i *Item) *verdict.Error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.options.Now()
+	if !now.Before(i.Deadline) {
+		return deadlineError()
+	}
+	if e := q.refuseEarly(i, now); e != nil {
+		return e
+	}
+	if !q.makeRoom(i) {
+		return fullError()
+	}
+	q.add(i, now)
+	q.dispatch()
+	return nil
+}
+
+func (q *Queue) add(i *Item, now time.Time) {
+	q.sequence++
+	i.ready, i.sequence, i.arrived, i.waiting = make(chan struct{}), q.sequence, now, true
+	a := q.account(i)
+	a.activate(i.Rank, &q.virtual)
+	a.items[i.Rank] = append(a.items[i.Rank], i)
+	q.count(i, 1)
+	q.stats.Tokens += i.Tokens
+}
+
+// Remove takes a waiting item out. It returns false if the item was given a
+// slot or pushed out already; an item with a slot needs Done.
+func (q *Queue) Remove(i *Item) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !i.waiting {
+		return false
+	}
+	q.take(i)
+	q.stats.Tokens -= i.Tokens
+	q.dispatch()
+	return true
+}
+
+// take removes a waiting item from its account's list.
+func (q *Queue) take(i *Item) {
+	a := q.accounts[i.Account]
+	list := a.items[i.Rank]
+	for n := range list {
+		if list[n] == i {
+			a.items[i.Rank] = append(list[:n:n], list[n+1:]...)
+			break
+		}
+	}
+	i.waiting = false
+	q.count(i, -1)
+}
+
+func (q *Queue) count(i *Item, n int) {
+	q.stats.Queued += n
+	q.stats.ByRank[i.Rank] += n
+	q.queued[i.Rank] += int64(n) * i.Tokens
+	q.bytes += int64(n) * i.Bytes
+}
+
+// Done frees the slot of an item and corrects its charge by the tokens used.
+func (q *Queue) Done(i *Item, used int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.stats.Running--
+	q.stats.Tokens -= i.Tokens
+	if i.suspect {
+		q.suspects--
+	}
+	a := q.accounts[i.Account]
+	a.running--
+	q.charge(a, i, used-i.Tokens)
+	q.prune()
+	q.dispatch()
+}
+
+// SetSlots changes how many items run at a time; 0 stops the dispatch.
+func (q *Queue) SetSlots(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.options.Slots = n
+	q.dispatch()
+}
+
+// Stats returns the present state.
+func (q *Queue) Stats() Stats {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.stats
+}
+
+// dispatch gives free slots to the next items.
+func (q *Queue) dispatch() {
+	for q.stats.Running < q.options.Slots {
+		i, class := q.pick(q.options.Now())
+		if i == nil {
+			return
+		}
+		q.start(i, class)
+	}
+}
+
+func (q *Queue) start(i *Item, class fleet.Rank) {
+	a := q.accounts[i.Account]
+	q.take(i)
+	i.class = class
+	q.virtual[class] = max(q.virtual[class], a.start[class])
+	q.charge(a, i, i.Tokens)
+	a.running++
+	q.stats.Running++
+	i.suspect = i.Suspect != nil && i.Suspect()
+	if i.suspect {
+		q.suspects++
+	}
+	close(i.ready)
+}
+
+// charge adds tokens to what the account and the rank were served.
+func (q *Queue) charge(a *account, i *Item, tokens int64) {
+	now := q.options.Now()
+	a.start[i.class] += float64(tokens) / a.weight
+	a.served.add(now, tokens)
+	q.served[i.Rank].add(now, tokens)
+}
+
+func deadlineError() *verdict.Error {
+	return verdict.Refuse(http.StatusGatewayTimeout, verdict.ReasonDeadline, "the deadline passed before the request began")
+}
+
+func fullError() *verdict.Error {
+	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonQueueFull, "the agent's queue is full").WithRetryAfter(time.Second)
+}
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,202 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+type clock struct{ now time.Time }
+
+func fixture(o Options) (*Queue, *clock) {
+	c := &clock{now: time.Unix(1000, 0)}
+	o.Now = func() time.Time { return c.now }
+	if o.Items == 0 {
+		o.Items = 1000
+	}
+	o.Bytes = 1 << 20
+	return New(o), c
+}
+
+func (c *clock) item(account fleet.ClientAccount, weight float64, rank fleet.Rank) *Item {
+	return &Item{Account: account, Weight: weight, Rank: rank, Tokens: 100, Bytes: 1, Deadline: c.now.Add(time.Hour)}
+}
+
+func ready(i *Item) bool {
+	select {
+	case <-i.Ready():
+		return i.Refused() == nil
+	default:
+		return false
+	}
+}
+
+// serve runs the queued items one at a time and returns how many of the first
+// n belonged to each group.
+func serve(q *Queue, items []*Item, n int, group func(*Item) string) map[string]int {
+	counts := map[string]int{}
+	finished := map[*Item]bool{}
+	q.SetSlots(1)
+	for range n {
+		for _, i := range items {
+			if !finished[i] && ready(i) {
+				finished[i] = true
+				counts[group(i)]++
+				q.Done(i, i.Tokens)
+				break
+			}
+		}
+	}
+	return counts
+}
+
+func fill(q *Queue, n int, make func() *Item) []*Item {
+	var items []*Item
+	for range n {
+		i := make()
+		if q.Push(i) == nil {
+			items = append(items, i)
+		}
+	}
+	return items
+}
+
+func byRank(i *Item) string    { return i.Rank.String() }
+func byAccount(i *Item) string { return string(i.Account) }
+
+// Guards against lower ranks that starve in a flood of the most urgent work,
+// which the strict baseline shows.
+func TestFloors(t *testing.T) {
+	is := is.New(t)
+	run := func(o Ordering) map[string]int {
+		q, c := fixture(Options{Floors: [3]float64{0, 0.2, 0.1}, Ordering: o})
+		var items []*Item
+		for rank := range fleet.Rank(fleet.RankCount) {
+			items = append(items, fill(q, 100, func() *Item { return c.item("a", 1, rank) })...)
+		}
+		return serve(q, items, 100, byRank)
+	}
+	fair := run(Fair)
+	is.True(fair["middle"] >= 19)
+	is.True(fair["bottom"] >= 9)
+	is.True(fair["top"] >= 65)
+	is.Equal(run(Strict)["top"], 100)
+}
+
+// Guards against an account that gets more than its weight by asking more,
+// which the FIFO baseline shows, and against top-rank work beyond its share
+// that keeps precedence over middle-rank work.
+func TestFairnessByAccount(t *testing.T) {
+	is := is.New(t)
+	run := func(o Ordering, small fleet.Rank) map[string]int {
+		q, c := fixture(Options{Ordering: o})
+		items := fill(q, 200, func() *Item { return c.item("big", 0.5, fleet.RankTop) })
+		items = append(items, fill(q, 50, func() *Item { return c.item("small", 0.5, small) })...)
+		return serve(q, items, 80, byAccount)
+	}
+	is.True(run(Fair, fleet.RankTop)["small"] >= 38)
+	is.True(run(Fair, fleet.RankMiddle)["small"] >= 35)
+	is.Equal(run(FIFO, fleet.RankTop)["small"], 0)
+}
+
+// Guards against an account that states small estimates and uses far more.
+func TestChargeIsCorrectedByUse(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{})
+	liar := fill(q, 20, func() *Item { return c.item("liar", 0.5, fleet.RankMiddle) })
+	honest := fill(q, 20, func() *Item { return c.item("honest", 0.5, fleet.RankMiddle) })
+	q.SetSlots(1)
+	served := 0
+	for served < 10 {
+		if ready(liar[0]) {
+			q.Done(liar[0], 1000)
+			liar = liar[1:]
+			continue
+		}
+		is.True(ready(honest[0]))
+		q.Done(honest[0], 100)
+		honest = honest[1:]
+		served++
+	}
+	is.Equal(len(liar), 19)
+}
+
+// Guards against a bottom item that waits for ever, and against aged bottom
+// items that stop urgent work.
+func TestAgedBottomItemGoesNext(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{})
+	items := fill(q, 50, func() *Item {
+		i := c.item("b", 1, fleet.RankBottom)
+		i.MaxAge = time.Second
+		return i
+	})
+	c.now = c.now.Add(2 * time.Second)
+	items = append(items, fill(q, 50, func() *Item { return c.item("t", 1, fleet.RankTop) })...)
+	q.SetSlots(1)
+	is.True(ready(items[0]))
+	is.True(serve(q, items, 40, byRank)["bottom"] <= 12)
+}
+
+// Guards against requests that are queued although they cannot begin in time,
+// and against a flood that gets a small account refused.
+func TestEarlyRefusal(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Slots: 1, Rate: func() float64 { return 100 }})
+	urgent := func(account fleet.ClientAccount) *Item {
+		i := c.item(account, 0.5, fleet.RankTop)
+		i.FirstToken = time.Second
+		return i
+	}
+	flood := fill(q, 50, func() *Item { return urgent("big") })
+	is.True(len(flood) < 8)
+	e := q.Push(urgent("big"))
+	is.Equal(e.Verdict, verdict.NotRun)
+	is.True(e.RetryAfter > 0)
+	is.True(q.Push(urgent("small")) == nil)
+	late := c.item("big", 0.5, fleet.RankTop)
+	late.Deadline = c.now
+	is.Equal(q.Push(late).Reason, verdict.ReasonDeadline)
+}
+
+// Guards against a flood that fills the queue's bound for everybody.
+func TestFullQueuePushesOutTheHeaviest(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Items: 10})
+	flood := fill(q, 20, func() *Item { return c.item("big", 0.5, fleet.RankBottom) })
+	is.Equal(len(flood), 10)
+	is.True(q.Push(c.item("small", 0.5, fleet.RankBottom)) == nil)
+	<-flood[9].Ready()
+	is.Equal(flood[9].Refused().Reason, verdict.ReasonQueueFull)
+	is.True(!q.Remove(flood[9]))
+	is.Equal(q.Stats().Queued, 10)
+}
+
+// Guards against a canceled item that keeps its place, and against two
+// suspects that run beside each other.
+func TestRemoveAndSuspects(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Slots: 2})
+	suspect := func() *Item {
+		i := c.item("a", 1, fleet.RankTop)
+		i.Suspect = func() bool { return true }
+		return i
+	}
+	first, second, clean, last := suspect(), suspect(), c.item("a", 1, fleet.RankTop), c.item("a", 1, fleet.RankTop)
+	for _, i := range []*Item{first, second, clean, last} {
+		is.True(q.Push(i) == nil)
+	}
+	is.True(ready(first) && !ready(second) && ready(clean))
+	is.True(!q.Remove(clean))
+	is.True(q.Remove(last))
+	q.Done(first, 0)
+	is.True(ready(second))
+	is.Equal(q.Stats().Queued, 0)
+	q.Done(second, 0)
+	q.Done(clean, 0)
+	is.Equal(q.Stats().Tokens, int64(0))
+}
