Add the agent process

Ruled out: reused connections to the server, because a server that closes one as the request is written leaves unknown whether it ran; ending the runs of a former server start that began after it was last seen, because they may belong to the present start.

--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,192 @@
+// Package agent runs the process in front of one backend server: it queues,
+// runs and answers the requests that entry VMs send.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/adminhttp"
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/ledger"
+	"github.com/coltsfootbay/coltsfootbay/internal/link"
+	"github.com/coltsfootbay/coltsfootbay/internal/member"
+	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/queue"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/ticket"
+	"github.com/coltsfootbay/coltsfootbay/internal/transport"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// publisher is the part of link.Manager that the agent uses.
+type publisher interface {
+	PublishSuspicions(ctx context.Context, suspicions []wire.Suspicion)
+	Push()
+}
+
+// agent is one start of the agent process.
+type agent struct {
+	config   settings.AgentConfig
+	process  fleet.ProcessID
+	start    fleet.StartID
+	started  time.Time
+	recorder *events.Recorder
+	metrics  *metrics.Metrics
+	meters   meters
+
+	keyring    func() *ticket.Keyring
+	store      *config.Store
+	quarantine *quarantine.Registry
+	view       *member.View
+	endpoint   *transport.Endpoint
+	manager    *link.Manager
+	links      publisher
+	admin      *adminhttp.Server
+
+	ledger   *ledger.Ledger
+	queue    *queue.Queue
+	runs     *runTable
+	server   *server
+	rate     rate
+	cache    prefixCache
+	sequence atomic.Uint64
+
+	leaving   atomic.Bool
+	drain     chan struct{}
+	drainOnce sync.Once
+	changed   chan struct{}
+}
+
+// Run serves until ctx is done or a drain is ordered, then shuts down
+// gracefully and returns nil. An error means that the process could not start
+// or that a listener failed.
+func Run(ctx context.Context, c settings.AgentConfig, log io.Writer) error {
+	a := newAgent(c, log)
+	if err := a.provision(); err != nil {
+		return errors.Join(err, a.cleanup())
+	}
+	if err := a.validate(); err != nil {
+		return errors.Join(err, a.cleanup())
+	}
+	err := a.serve(ctx)
+	return errors.Join(err, a.cleanup())
+}
+
+// newAgent returns an agent that has no listeners, keys or links yet.
+func newAgent(c settings.AgentConfig, log io.Writer) *agent {
+	a := &agent{
+		config:     c,
+		process:    fleet.ProcessID(c.Name),
+		start:      fleet.NewStartID(),
+		started:    time.Now(),
+		quarantine: quarantine.NewRegistry(),
+		runs:       newRunTable(),
+		drain:      make(chan struct{}),
+		changed:    make(chan struct{}, 1),
+	}
+	a.recorder = events.NewRecorder(a.process, a.start, log)
+	a.metrics = metrics.New(map[string]string{"process": c.Name})
+	a.meters = newMeters(a.metrics.Scope)
+	a.store = config.NewStore(a.recorder)
+	a.server = newServer(c.BackendServer)
+	a.ledger = ledger.New(ledger.Options{Agent: a.process, Start: a.start, Uptime: a.uptime, Bytes: c.LedgerBytes})
+	a.queue = queue.New(queue.Options{
+		Items:  c.Queue.Items,
+		Bytes:  c.Queue.Bytes,
+		Floors: [fleet.RankCount]float64{fleet.RankMiddle: c.Queue.MiddleFloor, fleet.RankBottom: c.Queue.BottomFloor},
+		Rate:   a.rate.perSecond,
+	})
+	return a
+}
+
+// provision loads the keys and binds the listeners.
+func (a *agent) provision() error {
+	keys, err := ticket.OpenFile(a.config.Keys.Ticket)
+	if err != nil {
+		return err
+	}
+	a.keyring = keys.Keyring
+	identity, err := transport.LoadIdentity(transport.KeyFiles{
+		Certificate: a.config.Keys.Certificate, Key: a.config.Keys.Key, Authority: a.config.Keys.Authority,
+	})
+	if err != nil {
+		return err
+	}
+	a.endpoint, err = transport.NewEndpoint(a.config.PeerAddress, identity, a.recorder.Clock, true)
+	if err != nil {
+		return err
+	}
+	a.admin, err = adminhttp.Listen(a.adminOptions())
+	if err != nil {
+		return err
+	}
+	a.connect()
+	return nil
+}
+
+// connect builds the member view and the links on the bound endpoint.
+func (a *agent) connect() {
+	a.view = member.NewView(member.Config{Self: a.hello()})
+	a.manager = link.NewManager(link.Config{
+		Endpoint:      a.endpoint,
+		View:          a.view,
+		Store:         a.store,
+		Quarantine:    a.quarantine,
+		Recorder:      a.recorder,
+		Report:        a.report,
+		HandleRequest: func(ctx context.Context, s *transport.Stream) { a.handle(ctx, s) },
+	})
+	a.links = a.manager
+}
+
+func (a *agent) hello() wire.Hello {
+	return wire.Hello{
+		Process:      a.process,
+		Start:        a.start,
+		Role:         fleet.RoleAgent,
+		Zone:         fleet.AvailabilityZone(a.config.Zone),
+		Address:      a.endpoint.Address(),
+		AdminAddress: a.config.AdminAddress,
+	}
+}
+
+// validate checks what only the provisioned process can know.
+func (a *agent) validate() error {
+	if a.keyring() == nil {
+		return fmt.Errorf("ticket keys %s: no keys", a.config.Keys.Ticket)
+	}
+	if a.config.BackendServer.Kind != settings.KindModel && a.config.BackendServer.Kind != settings.KindService {
+		return fmt.Errorf("backend_server.kind %q is not one of model, service", a.config.BackendServer.Kind)
+	}
+	return nil
+}
+
+// cleanup closes what provision opened.
+func (a *agent) cleanup() error {
+	var errs []error
+	if a.endpoint != nil {
+		errs = append(errs, a.endpoint.Close())
+	}
+	errs = append(errs, a.metrics.Close())
+	return errors.Join(errs...)
+}
+
+// uptime returns the time since this start on the monotonic clock.
+func (a *agent) uptime() time.Duration { return time.Since(a.started) }
+
+// notify asks for a new report to the entry VMs.
+func (a *agent) notify() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/agent/report.go
@@ -0,0 +1,157 @@
+package agent
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/adminhttp"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// report returns the agent's present state.
+func (a *agent) report() wire.Report {
+	s := a.server.snapshot()
+	q := a.queue.Stats()
+	r := wire.Report{
+		Sequence:        a.sequence.Add(1),
+		Uptime:          a.uptime().Milliseconds(),
+		Leaving:         a.leaving.Load(),
+		ServerUp:        s.up,
+		ServerStart:     s.start,
+		Running:         q.Running,
+		Queued:          q.Queued,
+		Slots:           s.slots,
+		QueuedTokens:    q.Tokens,
+		TokensPerSecond: a.rate.perSecond(),
+	}
+	if a.isModel() {
+		r.Model, r.Adapters = a.config.BackendServer.Name, s.adapters
+		r.CachedPrefixes = a.cache.newest()
+	} else {
+		r.Service = a.config.BackendServer.Name
+	}
+	return r
+}
+
+func (a *agent) isModel() bool { return a.config.BackendServer.Kind == settings.KindModel }
+
+func (a *agent) adminOptions() adminhttp.Options {
+	return adminhttp.Options{
+		Address:  a.config.AdminAddress,
+		KeyFile:  a.config.Keys.Admin,
+		Limits:   a.config.Limits,
+		Recorder: a.recorder,
+		Metrics:  a.metrics,
+		Ready:    a.ready,
+		Status:   func() any { return a.status() },
+		Drain:    a.requestDrain,
+	}
+}
+
+func (a *agent) ready() error {
+	if a.leaving.Load() {
+		return errors.New("the agent is leaving")
+	}
+	if !a.server.snapshot().up {
+		return errors.New("the backend server does not answer its health probe")
+	}
+	return nil
+}
+
+// Status is what /admin/v1/status shows of an agent.
+type Status struct {
+	Process      string  `json:"process"`
+	Start        uint64  `json:"start,string"`
+	UptimeMs     int64   `json:"uptime_ms"`
+	Leaving      bool    `json:"leaving"`
+	Kind         string  `json:"kind"`
+	Server       string  `json:"server"`
+	ServerUp     bool    `json:"server_up"`
+	ServerStart  string  `json:"server_start"`
+	Slots        int     `json:"slots"`
+	Running      int     `json:"running"`
+	Queued       int     `json:"queued"`
+	QueuedTokens int64   `json:"queued_tokens"`
+	TokenRate    float64 `json:"tokens_per_second"`
+}
+
+func (a *agent) status() Status {
+	s, q := a.server.snapshot(), a.queue.Stats()
+	return Status{
+		Process: a.config.Name, Start: uint64(a.start), UptimeMs: a.uptime().Milliseconds(),
+		Leaving: a.leaving.Load(), Kind: a.config.BackendServer.Kind, Server: a.config.BackendServer.Name,
+		ServerUp: s.up, ServerStart: s.start, Slots: s.slots,
+		Running: q.Running, Queued: q.Queued, QueuedTokens: q.Tokens, TokenRate: a.rate.perSecond(),
+	}
+}
+
+// meters are the agent's metrics.
+type meters struct {
+	scope        tally.Scope
+	queued       tally.Gauge
+	running      tally.Gauge
+	runs, tokens tally.Counter
+}
+
+func newMeters(s tally.Scope) meters {
+	return meters{
+		scope:   s,
+		queued:  s.Gauge("queue_length"),
+		running: s.Gauge("running"),
+		runs:    s.Counter("runs"),
+		tokens:  s.Counter("tokens"),
+	}
+}
+
+func (m meters) refused(reason string) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
+}
+
+// updateGauges copies the queue's state to the metrics.
+func (a *agent) updateGauges() {
+	q := a.queue.Stats()
+	a.meters.queued.Update(float64(q.Queued))
+	a.meters.running.Update(float64(q.Running))
+}
+
+const (
+	// rateInterval is over how long one measurement of the rate goes.
+	rateInterval = time.Second
+	// rateDecay per interval lets the highest measurement fade, so that the
+	// rate stays near the server's capacity while there is little work.
+	rateDecay = 0.95
+)
+
+// rate measures how many estimated tokens the server finishes per second. It
+// counts estimates because the queue holds estimates.
+type rate struct {
+	mu     sync.Mutex
+	peak   float64
+	tokens int64
+	since  time.Time
+}
+
+func (r *rate) add(tokens int64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.tokens += tokens
+	elapsed := now.Sub(r.since)
+	if elapsed < rateInterval {
+		return
+	}
+	r.peak = max(r.peak*rateDecay, float64(r.tokens)/elapsed.Seconds())
+	r.tokens, r.since = 0, now
+}
+
+func (r *rate) perSecond() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peak
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/ledger"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// maxResponseBytes bounds the body of a plain service's response.
+const maxResponseBytes = 8 << 20
+
+// requestIDHeader carries the same value in every repeat of a ticket.
+const requestIDHeader = "Request-Id"
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Host": true,
+}
+
+// callService runs a request on the plain service.
+func (a *agent) callService(r *run) (ledger.Answer, error) {
+	request, err := a.serviceRequest(r)
+	if err != nil {
+		return refusal(verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "%v", err)), nil
+	}
+	response, err := newClient(a.beginner(r)).Do(request)
+	if err != nil {
+		return ledger.Answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err != nil {
+		return ledger.Answer{}, err
+	}
+	head := &wire.Response{Status: response.StatusCode, Headers: responseHeaders(response.Header)}
+	if len(body) > maxResponseBytes {
+		return refusal(tooLarge(response.StatusCode)), nil
+	}
+	return ledger.Answer{Response: head, Body: body}, nil
+}
+
+func (a *agent) serviceRequest(r *run) (*http.Request, error) {
+	s := r.submit.Service
+	target, err := url.Parse(a.config.BackendServer.URL)
+	if err != nil {
+		return nil, err
+	}
+	path, err := url.PathUnescape(s.Path)
+	if err != nil {
+		return nil, fmt.Errorf("path %q: %w", s.Path, err)
+	}
+	base := strings.TrimSuffix(target.Path, "/")
+	target.Path = base + "/" + strings.TrimPrefix(path, "/")
+	target.RawPath = base + "/" + strings.TrimPrefix(s.Path, "/")
+	target.RawQuery = s.Query
+	request, err := http.NewRequestWithContext(r.ctx, s.Method, target.String(), bytes.NewReader(s.Body))
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range s.Headers {
+		if !hopHeaders[http.CanonicalHeaderKey(h.Name)] {
+			request.Header.Add(h.Name, h.Value)
+		}
+	}
+	request.Header.Set(requestIDHeader, string(r.key.request))
+	return request, nil
+}
+
+func responseHeaders(h http.Header) []wire.Header {
+	var out []wire.Header
+	for name, values := range h {
+		if hopHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func refusal(e *verdict.Error) ledger.Answer { return ledger.Answer{Err: e} }
+
+// tooLarge says that the service answered, so the request did run.
+func tooLarge(status int) *verdict.Error {
+	return &verdict.Error{
+		Verdict: verdict.Completed,
+		Reason:  verdict.ReasonResponseTooLarge,
+		Status:  http.StatusBadGateway,
+		Detail:  fmt.Sprintf("the service answered with status %d and a body of more than %d bytes", status, maxResponseBytes),
+	}
+}
