Keep a leaving agent until its answers are delivered

Cause: the endpoint was closed when the last run had ended, although its answer could still be on the way to a slow receiver. The client of the health probe used the proxy that the environment names.

Ruled out: waiting without a bound for the peer to close its side, because one faulty peer would hold up the shutdown until the drain timeout.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,8 @@
 	rate     rate
 	cache    prefixCache
 	sequence atomic.Uint64
+	// calls counts the request streams whose answer is not delivered.
+	calls atomic.Int64
 
 	leaving   atomic.Bool
 	drain     chan struct{}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -196,9 +196,6 @@
 		if dead.Load() {
 			return nil, io.ErrUnexpectedEOF
 		}
-		if healthy == nil {
-			healthy = http.DefaultTransport
-		}
 		return healthy.RoundTrip(r)
 	})
 	refused := until[*wire.Refused](t, f.open(filing("r1", f.ticket("t1"))))
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -20,6 +20,9 @@
 	// closeTimeout bounds the wait for the peer to close its side. It is long
 	// because an abort also drops data that a slow receiver has not read.
 	closeTimeout = time.Minute
+	// flushTimeout is how long an ended call keeps a leaving process waiting
+	// for a peer that does not confirm the answer by closing its side.
+	flushTimeout = time.Second
 	// chunkBytes is the size of one Chunk message's data.
 	chunkBytes = 128 << 10
 )
@@ -37,14 +40,19 @@
 
 // call is one request stream from an entry VM.
 type call struct {
-	stream   stream
-	ended    chan struct{}
-	canceled chan struct{}
-	cancel   sync.Once
+	stream stream
+	// ended is closed when the answer was sent, peerClosed when the peer will
+	// send nothing more.
+	ended      chan struct{}
+	peerClosed chan struct{}
+	canceled   chan struct{}
+	cancel     sync.Once
 }
 
 // handle serves a request stream and closes it.
 func (a *agent) handle(ctx context.Context, s stream) {
+	a.calls.Add(1)
+	defer a.calls.Add(-1)
 	s.SetReadDeadline(time.Now().Add(firstMessageTimeout))
 	m, err := s.Receive()
 	if err != nil {
@@ -52,12 +60,16 @@
 		return
 	}
 	s.SetReadDeadline(time.Time{})
-	c := &call{stream: s, ended: make(chan struct{}), canceled: make(chan struct{})}
+	c := &call{stream: s, ended: make(chan struct{}), peerClosed: make(chan struct{}), canceled: make(chan struct{})}
 	go c.listen()
 	a.serveCall(c, m)
 	close(c.ended)
 	s.CloseSend()
 	s.SetReadDeadline(time.Now().Add(closeTimeout))
+	select {
+	case <-c.peerClosed:
+	case <-time.After(flushTimeout):
+	}
 }
 
 func (a *agent) serveCall(c *call, m wire.Message) {
@@ -75,6 +87,7 @@
 
 // listen waits for Cancel until the peer closes its side.
 func (c *call) listen() {
+	defer close(c.peerClosed)
 	for {
 		m, err := c.stream.Receive()
 		if err != nil {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -72,7 +72,7 @@
 	poll := time.NewTicker(openRunsPoll)
 	defer poll.Stop()
 	lingered := false
-	for !lingered || a.runs.open() > 0 {
+	for !lingered || a.runs.open() > 0 || a.calls.Load() > 0 {
 		select {
 		case <-linger:
 			lingered = true
@@ -80,7 +80,7 @@
 		case <-running.Done():
 			return
 		case <-timeout:
-			a.recorder.Record("agent.drain_timeout", "", events.F("open", a.runs.open()))
+			a.recorder.Record("agent.drain_timeout", "", events.F("open", a.runs.open()), events.F("streams", a.calls.Load()))
 			a.stopRuns()
 			return
 		}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -55,7 +55,10 @@
 }
 
 func newServer(c settings.BackendServer) *server {
-	return &server{config: c, client: &http.Client{Timeout: probeTimeout}, state: serverState{slots: c.Slots}}
+	// Without a Transport of its own the client would use the proxy that the
+	// environment names.
+	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConns: 1, IdleConnTimeout: time.Minute}}
+	return &server{config: c, client: client, state: serverState{slots: c.Slots}}
 }
 
 func (s *server) snapshot() serverState {
