Answer a key's ticket of another start with may_have_run

Cause: the index by idempotency key also matched tickets that name another start. Resolve then spent the queued run of the key's ticket here and answered not_run for a ticket that may have run on the other start.

Ruled out: answering such a ticket from the run here, because the answer would hide a second run.

Change: the index serves only tickets of the own agent and start.

Ran: the new check failed before the change (not_run) and passes after it; go vet, staticcheck, go test -race -count=3 on the three packages passed.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -160,7 +160,8 @@
 	if r := l.records[t.Request]; r != nil && r.account == t.Account {
 		return r
 	}
-	if t.KeyHash == 0 {
+	// A ticket for another start may have run there, whatever ran here.
+	if t.KeyHash == 0 || t.Agent != l.options.Agent || t.Start != l.options.Start {
 		return nil
 	}
 	r := l.keys[keyIndex{t.Account, t.KeyHash}]
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -82,8 +82,8 @@
 	is.Equal(e.Verdict, verdict.MayHaveRun)
 }
 
-// Guards against a second filing under a new ticket for the same key, and
-// against a record that is dropped while its run is open or just ended.
+// Guards against a second filing under a new ticket for the same key, against
+// a false not_run for the key's ticket of another start, and against a record that is dropped while its run is open or just ended.
 func TestKeyAndRetention(t *testing.T) {
 	is := is.New(t)
 	var uptime time.Duration
@@ -91,6 +91,9 @@
 	first, _, _ := l.Admit(token("t1", 7), 1)
 	second, fresh, e := l.Admit(token("t2", 7), 1)
 	is.True(e == nil && !fresh && first == second)
+	other := token("t3", 7)
+	other.Start = 2
+	is.Equal(l.Resolve(other).Answer().Err.Verdict, verdict.MayHaveRun) // not the key's queued run
 	is.NoErr(first.Begin())
 	uptime = 2 * lifetime
 	is.Equal(l.Resolve(token("t1", 7)).State(), Begun)
