--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,82 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/member"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+func agent(i int) member.Agent {
+	return member.Agent{
+		Hello:  wire.Hello{Process: fleet.ProcessID(fmt.Sprintf("agent-%d", i)), Start: 1, Zone: "a"},
+		Report: wire.Report{Sequence: 1, Model: "m", ServerUp: true, TokensPerSecond: 1000},
+		Linked: true,
+	}
+}
+
+// Guards against herding: while a report lags, what this entry sent must count.
+func TestLaggingReportDoesNotHerd(t *testing.T) {
+	for _, policy := range []Policy{Scored, LeastLoaded, TwoChoices, RoundRobin} {
+		is := is.New(t)
+		r := NewRouter(policy, "a")
+		busy := agent(0)
+		busy.Report.QueuedTokens, busy.Report.Running = 100, 1
+		agents := []member.Agent{busy, agent(1), agent(2), agent(3)}
+		q := Request{Model: "m", Prompt: "p", MaxTokens: 100}
+		sent := map[fleet.ProcessID]int{}
+		for range 400 {
+			a, ok := r.Choose(agents, q)
+			is.True(ok)
+			sent[a.Hello.Process]++
+			r.Sent(a.Hello.Process, q)
+		}
+		for _, a := range agents {
+			is.True(sent[a.Hello.Process] > 60) // every agent gets about 100 of 400
+		}
+	}
+}
+
+// Guards against sending work to agents that are leaving, lack the model or
+// have no server.
+func TestUnfitAgentsAreNoCandidates(t *testing.T) {
+	is := is.New(t)
+	leaving, down, other, unlinked := agent(0), agent(1), agent(2), agent(3)
+	leaving.Leaving, down.Report.ServerUp, other.Report.Model, unlinked.Linked = true, false, "n", false
+	is.Equal(len(Candidates([]member.Agent{leaving, down, other, unlinked}, Request{Model: "m"})), 0)
+	is.Equal(len(Candidates([]member.Agent{agent(4)}, Request{Model: "m", Adapter: "x"})), 0)
+}
+
+// Guards against losing the engine's prompt cache when agents are equally busy.
+func TestCachedPromptDecides(t *testing.T) {
+	is := is.New(t)
+	prompt := strings.Repeat("word ", 400)
+	cached := agent(2)
+	cached.Report.CachedPrefixes = PrefixHashes("m", prompt)
+	r := NewRouter(Scored, "a")
+	a, _ := r.Choose([]member.Agent{agent(0), agent(1), cached}, Request{Model: "m", Prompt: prompt})
+	is.Equal(a.Hello.Process, cached.Hello.Process)
+}
+
+// Guards against tickets of one key going to two agents when another agent
+// leaves, which would defeat the second safeguard against doubled filings.
+func TestRendezvousIgnoresUnchosenAgents(t *testing.T) {
+	is := is.New(t)
+	all := []member.Agent{agent(0), agent(1), agent(2)}
+	for key := range uint64(50) {
+		chosen, _ := Rendezvous(all, key)
+		for i, left := range all {
+			if left.Hello.Process == chosen.Hello.Process {
+				continue
+			}
+			rest := append(append([]member.Agent{}, all[:i]...), all[i+1:]...)
+			again, _ := Rendezvous(rest, key)
+			is.Equal(again.Hello.Process, chosen.Hello.Process)
+		}
+	}
+}
