--- /dev/null
+++ b/internal/entry/command/admin.go
@@ -0,0 +1,26 @@
+package command
+
+import (
+	"context"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/dynamic"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// Validate checks a document without publishing it.
+func (c *Commands) Validate(name, body string) error {
+	return dynamic.Validate(wire.Document{Name: name, Body: body})
+}
+
+// Lift clears a fingerprint and tells the other processes. It returns false if
+// the fingerprint is not known.
+func (c *Commands) Lift(ctx context.Context, fingerprint uint64) bool {
+	s, ok := c.Quarantine.Lift(fingerprint)
+	if !ok {
+		return false
+	}
+	c.Recorder.Record("quarantine.lifted", "", events.F("fingerprint", fingerprint))
+	c.Links.PublishSuspicions(ctx, []wire.Suspicion{s})
+	return true
+}
--- /dev/null
+++ b/internal/entry/command/admit.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/dynamic"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// Rank returns the rank of a request. The caller's wish may only lower the rank
+// of its template.
+func Rank(account *dynamic.Account, wish string) (fleet.Rank, *verdict.Error) {
+	if wish == "" {
+		return account.Template.Rank, nil
+	}
+	rank, err := fleet.ParseRank(wish)
+	if err != nil {
+		return 0, verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "Request-Rank: %v", err)
+	}
+	return max(rank, account.Template.Rank), nil
+}
+
+// AdmitModel checks that the account may use a model and adapter now.
+func (c *Commands) AdmitModel(call *Call, model, adapter string) *verdict.Error {
+	if !slices.Contains(call.Account.Template.Models, model) {
+		return verdict.Refuse(http.StatusForbidden, verdict.ReasonForbidden, "model %q is not allowed for the account", model)
+	}
+	m, ok := c.Store.Effective().Models[model]
+	if !ok {
+		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownModel, "model %q does not exist", model)
+	}
+	if adapter == "" {
+		return c.admitFingerprint(call)
+	}
+	if !slices.Contains(call.Account.Template.Adapters, adapter) {
+		return verdict.Refuse(http.StatusForbidden, verdict.ReasonForbidden, "adapter %q is not allowed for the account", adapter)
+	}
+	if !slices.Contains(m.Adapters, adapter) {
+		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownModel, "model %q has no adapter %q", model, adapter)
+	}
+	return c.admitFingerprint(call)
+}
+
+// AdmitService returns a service that the account may call.
+func (c *Commands) AdmitService(call *Call, name string) (dynamic.Service, *verdict.Error) {
+	if !slices.Contains(call.Account.Template.Services, name) {
+		return dynamic.Service{}, verdict.Refuse(http.StatusForbidden, verdict.ReasonForbidden, "service %q is not allowed for the account", name)
+	}
+	s, ok := c.Store.Effective().Services[name]
+	if !ok {
+		return dynamic.Service{}, verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownService, "service %q does not exist", name)
+	}
+	return s, c.admitFingerprint(call)
+}
+
+func (c *Commands) admitFingerprint(call *Call) *verdict.Error {
+	if c.Quarantine.State(call.Fingerprint) != quarantine.Quarantined {
+		return nil
+	}
+	return verdict.Refuse(http.StatusUnprocessableEntity, verdict.ReasonQuarantined, "backend servers ended while this request ran")
+}
--- /dev/null
+++ b/internal/entry/command/links.go
@@ -0,0 +1,53 @@
+package command
+
+import (
+	"context"
+	"errors"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/link"
+	"github.com/coltsfootbay/coltsfootbay/internal/transport"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+var errNoLink = errors.New("no link to the agent")
+
+// managedLinks opens streams over the links of a link.Manager.
+type managedLinks struct{ *link.Manager }
+
+// ManagedLinks returns the Links of a manager.
+func ManagedLinks(m *link.Manager) Links { return managedLinks{m} }
+
+type managedStream struct {
+	*transport.Stream
+	conn *transport.Conn
+}
+
+// LinkLost reports whether the connection is closed.
+func (s managedStream) LinkLost() bool { return s.conn.Context().Err() != nil }
+
+// Open opens a stream over the present link.
+func (l managedLinks) Open(ctx context.Context, agent fleet.ProcessID) (Stream, fleet.StartID, error) {
+	conn, start, ok := l.Agent(agent)
+	if !ok {
+		return nil, 0, errNoLink
+	}
+	return openStream(ctx, conn, start)
+}
+
+// WaitOpen waits for a link and opens a stream over it.
+func (l managedLinks) WaitOpen(ctx context.Context, agent fleet.ProcessID) (Stream, fleet.StartID, error) {
+	conn, start, err := l.WaitAgent(ctx, agent)
+	if err != nil {
+		return nil, 0, err
+	}
+	return openStream(ctx, conn, start)
+}
+
+func openStream(ctx context.Context, conn *transport.Conn, start fleet.StartID) (Stream, fleet.StartID, error) {
+	s, err := conn.OpenStream(ctx, wire.StreamRequest)
+	if err != nil {
+		return nil, start, err
+	}
+	return managedStream{s, conn}, start, nil
+}
