Add the entry's HTTP layer and process, and tests of its commands

Callers' and administration interfaces run behind one gate that checks path, limits, key, deadline and rank, so that every refusal has the same form. net/http's ReadTimeout was ruled out: it stays armed during the handler and its expiry cancels the request as if the caller had hung up; the gate sets the read deadline around the body only.

--- /dev/null
+++ b/internal/entry/admin.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	goahttp "goa.design/goa/v3/http"
+	"goa.design/goa/v3/security"
+
+	"github.com/coltsfootbay/coltsfootbay/gen/admin"
+	adminserver "github.com/coltsfootbay/coltsfootbay/gen/http/admin/server"
+	"github.com/coltsfootbay/coltsfootbay/internal/entry/command"
+	"github.com/coltsfootbay/coltsfootbay/internal/entry/query"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// adminAPI serves the administration calls that only entry processes have.
+type adminAPI struct {
+	commands  *command.Commands
+	queries   *query.Queries
+	bodyBytes int64
+}
+
+func (a *adminAPI) handler() http.Handler {
+	mux := goahttp.NewMuxer()
+	adminserver.Mount(mux, adminserver.New(admin.NewEndpoints(a), mux, jsonDecoder, jsonEncoder, nil, formatAdmin))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := &request{id: fleet.NewRequestID(), writer: w}
+		w.Header().Set("Request-Id", string(q.id))
+		r.Body = http.MaxBytesReader(w, r.Body, a.bodyBytes)
+		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
+	})
+}
+
+func formatAdmin(ctx context.Context, err error) goahttp.Statuser {
+	q := requestFrom(ctx)
+	e := failure(err)
+	setProblemHeaders(q.writer.Header(), e)
+	return newProblem(q.id, e)
+}
+
+// JWTAuth accepts every call: package adminhttp checked the key before.
+func (a *adminAPI) JWTAuth(ctx context.Context, _ string, _ *security.JWTScheme) (context.Context, error) {
+	return ctx, nil
+}
+
+// Configuration tells which revision of each document is in force.
+func (a *adminAPI) Configuration(context.Context, *admin.ConfigurationPayload) (*admin.ConfigurationResult, error) {
+	store := a.queries.Store
+	effective := store.Effective()
+	result := &admin.ConfigurationResult{
+		Revision: store.Revision(), PlatformAgeMs: store.PlatformAge().Milliseconds(), ShareScale: effective.ShareScale,
+		Documents: []*admin.DocumentStatus{}, Inactive: []*admin.InactiveReference{},
+	}
+	for _, d := range store.Status() {
+		result.Documents = append(result.Documents, &admin.DocumentStatus{
+			Name: d.Name, Latest: d.Latest, InForce: d.InForce, Deleted: &d.Deleted, Rejected: optional(d.Rejected),
+		})
+	}
+	for _, i := range effective.Inactive {
+		result.Inactive = append(result.Inactive, &admin.InactiveReference{Document: i.Document, Reference: i.Reference, Reason: i.Reason})
+	}
+	return result, nil
+}
+
+// Members lists the processes that this entry knows.
+func (a *adminAPI) Members(context.Context, *admin.MembersPayload) ([]*admin.MemberStatus, error) {
+	out := []*admin.MemberStatus{}
+	for _, m := range a.queries.Members() {
+		out = append(out, &admin.MemberStatus{
+			Process: string(m.Hello.Process), Start: strconv.FormatUint(uint64(m.Hello.Start), 10), Role: string(m.Hello.Role),
+			Zone: string(m.Hello.Zone), Address: m.Hello.Address, Alive: m.Alive, Leaving: m.Leaving, Linked: m.Linked,
+		})
+	}
+	return out, nil
+}
+
+// Quarantine lists the suspicions.
+func (a *adminAPI) Quarantine(context.Context, *admin.QuarantinePayload) ([]*admin.SuspicionStatus, error) {
+	registry := a.queries.Quarantine
+	out := []*admin.SuspicionStatus{}
+	for _, s := range registry.List() {
+		out = append(out, &admin.SuspicionStatus{
+			Fingerprint: command.FormatFingerprint(s.Fingerprint), Account: string(s.Account), Crashes: len(s.Crashes),
+			Quarantined: registry.State(s.Fingerprint) == quarantine.Quarantined, RemainingMs: s.Remaining,
+		})
+	}
+	return out, nil
+}
+
+// Usage lists what the accounts used at this entry.
+func (a *adminAPI) Usage(context.Context, *admin.UsagePayload) ([]*admin.UsageStatus, error) {
+	out := []*admin.UsageStatus{}
+	for _, u := range a.queries.Usage.Accounts() {
+		out = append(out, &admin.UsageStatus{
+			Account: string(u.Account), Requests: u.Requests, PromptTokens: u.PromptTokens, CompletionTokens: u.CompletionTokens,
+		})
+	}
+	return out, nil
+}
+
+// Validate checks a document.
+func (a *adminAPI) Validate(_ context.Context, p *admin.ValidatePayload) (*admin.ValidateResult, error) {
+	if err := a.commands.Validate(p.Name, p.Body); err != nil {
+		return &admin.ValidateResult{Fault: optional(err.Error())}, nil
+	}
+	return &admin.ValidateResult{Valid: true}, nil
+}
+
+// Lift ends a quarantine.
+func (a *adminAPI) Lift(ctx context.Context, p *admin.LiftPayload) error {
+	fingerprint, err := strconv.ParseUint(p.Fingerprint, 16, 64)
+	if err != nil || !a.commands.Lift(ctx, fingerprint) {
+		return verdict.Refuse(http.StatusNotFound, verdict.ReasonBadRequest, "fingerprint %q is not known", p.Fingerprint)
+	}
+	return nil
+}
+
+func optional(s string) *string {
+	if s == "" {
+		return nil
+	}
+	return &s
+}
--- a/internal/entry/command/admin.go
+++ b/internal/entry/command/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/dynamic"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
@@ -20,7 +21,10 @@
 	if !ok {
 		return false
 	}
-	c.Recorder.Record("quarantine.lifted", "", events.F("fingerprint", fingerprint))
+	c.Recorder.Record("quarantine.lifted", "", events.F("fingerprint", FormatFingerprint(fingerprint)))
 	c.Links.PublishSuspicions(ctx, []wire.Suspicion{s})
 	return true
 }
+
+// FormatFingerprint returns the text form that the administration API uses.
+func FormatFingerprint(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
--- a/internal/entry/command/commands.go
+++ b/internal/entry/command/commands.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/dynamic"
 	"github.com/coltsfootbay/coltsfootbay/internal/entry/usage"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
@@ -47,6 +46,12 @@
 	PublishSuspicions(ctx context.Context, suspicions []wire.Suspicion)
 }
 
+// Configuration is the part of the document store that commands need.
+type Configuration interface {
+	Ready() bool
+	Effective() *dynamic.Effective
+}
+
 // Commands holds what the commands work on.
 type Commands struct {
 	View       View
@@ -54,7 +59,7 @@
 	Router     *routing.Router
 	Budget     *retry.Budget
 	Quarantine *quarantine.Registry
-	Store      *config.Store
+	Store      Configuration
 	Tickets    *ticket.File
 	Recorder   *events.Recorder
 	Usage      *usage.Usage
--- /dev/null
+++ b/internal/entry/command/completion_test.go
@@ -0,0 +1,174 @@
+package command
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+func part(m *wire.Submit, number uint64, text string) *wire.Part {
+	return &wire.Part{Attempt: m.Attempt, Number: number, Text: text, Tokens: 1}
+}
+
+func collect(b *Buffer) (string, []Part, *End) {
+	var text strings.Builder
+	var all []Part
+	for {
+		parts, end := b.Next()
+		if end != nil {
+			return text.String(), all, end
+		}
+		for _, p := range parts {
+			text.WriteString(p.Text)
+		}
+		all = append(all, parts...)
+	}
+}
+
+var prompt = Completion{Model: "m", Prompt: "p", MaxTokens: 8}
+
+// Guards against a lost, doubled or reordered part when the engine ends in
+// mid-stream and another agent continues.
+func TestStreamContinuesOnAnotherAgent(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	script := func(s *fakeStream, m wire.Message) {
+		submit := m.(*wire.Submit)
+		if submit.Completion.Generated == "" {
+			s.reply(part(submit, 1, "b"), part(submit, 0, "a"), part(submit, 0, "a"),
+				&wire.Refused{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerCrashed, Status: 502})
+			return
+		}
+		if submit.Completion.Generated != "ab" || submit.Completion.NextPart != 2 || submit.Completion.MaxTokens != 6 {
+			t.Errorf("continued with %+v", submit.Completion)
+		}
+		late := part(submit, 2, "late")
+		late.Attempt--
+		s.reply(late, part(submit, 2, "c"), &wire.Done{Parts: 3, FinishReason: "stop"})
+	}
+	f.add("agent-1", wire.Report{Model: "m"}, script)
+	f.add("agent-2", wire.Report{Model: "m"}, script)
+	buffer, e := commands.StartCompletion(context.Background(), newCall(time.Second), prompt)
+	is.Equal(e, nil)
+	text, parts, end := collect(buffer)
+	is.Equal(end.Refusal, nil)
+	is.Equal(text, "abc")
+	is.True(parts[0].Token != "" && parts[1].Token == "" && parts[2].Token != "") // each attempt brings its token
+}
+
+// Guards against a request that ends every server it runs on, and against
+// not_run for a request whose first attempt ran.
+func TestCrashIsRetriedOnceWithTrueVerdict(t *testing.T) {
+	for _, second := range []*wire.Refused{
+		{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerCrashed, Status: 502},
+		{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest, Status: 400},
+	} {
+		is := is.New(t)
+		f, commands := newFleet(t)
+		sent := 0
+		for _, name := range []string{"agent-1", "agent-2", "agent-3"} {
+			f.add(fleet.ProcessID(name), wire.Report{Model: "m"}, func(s *fakeStream, _ wire.Message) {
+				sent++
+				if sent == 1 {
+					s.reply(&wire.Refused{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerCrashed, Status: 502})
+					return
+				}
+				s.reply(second)
+			})
+		}
+		buffer, _ := commands.StartCompletion(context.Background(), newCall(time.Second), prompt)
+		_, _, end := collect(buffer)
+		is.Equal(end.Refusal.Verdict, verdict.MayHaveRun)
+		is.Equal(sent, 2)
+	}
+}
+
+// Guards against retries that multiply the load when the budget is used up.
+func TestBudgetEndsRetries(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	sent := 0
+	full := func(s *fakeStream, _ wire.Message) {
+		sent++
+		s.reply(&wire.Refused{Verdict: verdict.NotRun, Reason: verdict.ReasonQueueFull, Status: 503, RetryAfter: 1000})
+	}
+	f.add("agent-1", wire.Report{Model: "m"}, full)
+	f.add("agent-2", wire.Report{Model: "m"}, full)
+	for range 20 {
+		buffer, _ := commands.StartCompletion(context.Background(), newCall(time.Second), prompt)
+		_, _, end := collect(buffer)
+		is.Equal(end.Refusal.RetryAfter, time.Second)
+	}
+	is.Equal(sent, 23) // 20 requests and the 3 retries that the budget starts with
+}
+
+// Guards against an engine that goes on working for a caller that hung up.
+func TestHangUpCancels(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	a := f.add("agent-1", wire.Report{Model: "m"}, func(s *fakeStream, m wire.Message) { s.reply(part(m.(*wire.Submit), 0, "a")) })
+	ctx, hangUp := context.WithCancel(context.Background())
+	buffer, _ := commands.StartCompletion(ctx, newCall(time.Minute), prompt)
+	buffer.Next()
+	hangUp()
+	_, _, end := collect(buffer)
+	is.Equal(end.Refusal.Reason, verdict.ReasonCanceled)
+	is.True(a.canceled())
+}
+
+// Guards against a resumed stream that repeats or loses text: first the agent's
+// parts are used, and after its restart the caller's own text.
+func TestResumeFromAgentOrFromCallersText(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		is := is.New(t)
+		f, commands := newFleet(t)
+		a := f.add("agent-1", wire.Report{Model: "m"}, func(s *fakeStream, m wire.Message) {
+			switch m := m.(type) {
+			case *wire.Attach:
+				s.reply(&wire.Part{Attempt: 4, Number: m.NextPart, Text: "c"}, &wire.Done{Parts: 3})
+			case *wire.Submit:
+				if m.Completion.Generated != "ab" {
+					t.Errorf("continued with %q", m.Completion.Generated)
+				}
+				s.reply(part(m, m.Completion.NextPart, "c"), &wire.Done{Parts: 3})
+			}
+		})
+		c := commands.newCompletion(newCall(time.Second), prompt)
+		token := c.streamToken("agent-1", 1)
+		if restarted {
+			a.start = 2
+		}
+		resumed := prompt
+		resumed.Resume = &Resume{StreamToken: token, NextPart: 2, Generated: "ab"}
+		buffer, e := commands.StartCompletion(context.Background(), newCall(time.Second), resumed)
+		is.Equal(e, nil)
+		text, parts, end := collect(buffer)
+		is.Equal(end.Refusal, nil)
+		is.Equal(text, "c")
+		is.Equal(parts[0].Number, uint64(2))
+		is.Equal(len(a.submits()), map[bool]int{false: 0, true: 1}[restarted])
+	}
+}
+
+// Guards against unbounded memory for a caller that does not read.
+func TestSlowCallerStopsTheProducer(t *testing.T) {
+	is := is.New(t)
+	b := newBuffer(10)
+	is.True(b.put(Part{Text: "0123456789"}))
+	taken := make(chan bool)
+	go func() { taken <- b.put(Part{Text: "x"}) }()
+	select {
+	case <-taken:
+		t.Fatal("the buffer took more than its bound")
+	case <-time.After(20 * time.Millisecond):
+	}
+	b.Next()
+	is.True(<-taken)
+}
--- a/internal/entry/command/links.go
+++ b/internal/entry/command/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/link"
@@ -23,8 +24,19 @@
 	conn *transport.Conn
 }
 
+// closeDelay is how long a connection's context may lag behind the errors of its
+// streams: quic-go ends the streams first.
+const closeDelay = 20 * time.Millisecond
+
 // LinkLost reports whether the connection is closed.
-func (s managedStream) LinkLost() bool { return s.conn.Context().Err() != nil }
+func (s managedStream) LinkLost() bool {
+	select {
+	case <-s.conn.Context().Done():
+		return true
+	case <-time.After(closeDelay):
+		return false
+	}
+}
 
 // Open opens a stream over the present link.
 func (l managedLinks) Open(ctx context.Context, agent fleet.ProcessID) (Stream, fleet.StartID, error) {
--- /dev/null
+++ b/internal/entry/command/once_test.go
@@ -0,0 +1,171 @@
+package command
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/ticket"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// recordedAnswer is a ServiceSink that keeps the answer.
+type recordedAnswer struct {
+	status int
+	body   string
+}
+
+func (r *recordedAnswer) Begin(m *wire.Response) error { r.status, r.body = m.Status, ""; return nil }
+func (r *recordedAnswer) Write(data []byte) error      { r.body += string(data); return nil }
+func (r *recordedAnswer) Committed() bool              { return false }
+
+var filing = ServiceCall{Service: wire.Service{Name: "records", Method: "POST", Path: "/filings"}}
+
+func answerWith(s *fakeStream, body string) {
+	s.reply(&wire.Response{Status: 201}, &wire.Chunk{Data: []byte(body)}, &wire.Done{})
+}
+
+// Guards against running a filing twice, and against a false not_run, after the
+// link is lost with the filing sent.
+func TestLostLinkIsResolvedAtTheSameAgent(t *testing.T) {
+	spent := &wire.Refused{Verdict: verdict.NotRun, Reason: verdict.ReasonTicketSpent, Status: 503, TicketSpent: true}
+	cases := map[string]struct {
+		resolve func(a *fakeAgent, s *fakeStream)
+		want    verdict.Verdict
+	}{
+		"spent":       {func(_ *fakeAgent, s *fakeStream) { s.reply(spent) }, verdict.NotRun},
+		"done":        {func(_ *fakeAgent, s *fakeStream) { answerWith(s, "filed") }, verdict.Completed},
+		"unreachable": {func(a *fakeAgent, s *fakeStream) { s.cut() }, verdict.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, commands := newFleet(t)
+			var agents []*fakeAgent
+			for _, id := range []fleet.ProcessID{"agent-1", "agent-2"} {
+				var a *fakeAgent
+				a = f.add(id, wire.Report{Service: "records"}, func(s *fakeStream, m wire.Message) {
+					if _, ok := m.(*wire.Submit); ok {
+						s.cut()
+						return
+					}
+					c.resolve(a, s)
+				})
+				agents = append(agents, a)
+			}
+			got := verdict.Completed
+			var answer recordedAnswer
+			if e := commands.CallService(context.Background(), newCall(300*time.Millisecond), filing, &answer); e != nil {
+				got = e.Verdict
+			}
+			is.Equal(got, c.want)
+			is.Equal(len(agents[0].submits())+len(agents[1].submits()), 1) // one agent gets the filing, once
+			is.True(f.published > 0)                                       // the others know of the suspicion before the answer
+		})
+	}
+}
+
+// Guards against a false not_run when the agent that got a filing restarted.
+func TestRestartedAgentMeansMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	var a *fakeAgent
+	a = f.add("agent-1", wire.Report{Service: "records"}, func(s *fakeStream, m wire.Message) {
+		a.mu.Lock()
+		a.start = 2
+		a.mu.Unlock()
+		s.cut()
+	})
+	e := commands.CallService(context.Background(), newCall(time.Second), filing, &recordedAnswer{})
+	is.Equal(e.Verdict, verdict.MayHaveRun)
+	is.Equal(len(a.submits()), 1)
+}
+
+// Guards against trying another agent after a filing may have run.
+func TestFilingIsRetriedOnlyAfterNotRun(t *testing.T) {
+	for _, v := range []verdict.Verdict{verdict.NotRun, verdict.MayHaveRun} {
+		is := is.New(t)
+		f, commands := newFleet(t)
+		refuse := func(s *fakeStream, _ wire.Message) {
+			s.reply(&wire.Refused{Verdict: v, Reason: verdict.ReasonServerFailed, Status: 502})
+		}
+		first := f.add("agent-1", wire.Report{Service: "records"}, refuse)
+		second := f.add("agent-2", wire.Report{Service: "records"}, refuse)
+		e := commands.CallService(context.Background(), newCall(time.Second), filing, &recordedAnswer{})
+		is.Equal(e.Verdict, v)
+		sent := map[verdict.Verdict]int{verdict.NotRun: 2, verdict.MayHaveRun: 1}[v]
+		is.Equal(len(first.submits())+len(second.submits()), sent)
+	}
+}
+
+// Guards against tickets that are accepted for another use, and against a
+// refusal that claims not_run for a ticket that may have been used before.
+func TestWrongTicketsAreRefusedWithTrueVerdict(t *testing.T) {
+	f, commands := newFleet(t)
+	a := f.add("agent-1", wire.Report{Service: "records"}, func(s *fakeStream, _ wire.Message) { answerWith(s, "filed") })
+	sign := func(account fleet.ClientAccount, service string, start fleet.StartID) string {
+		text, err := commands.Tickets.Keyring().Sign(ticket.Token{
+			Purpose: ticket.PurposeTicket, Request: "r", Account: account, Service: service, Agent: "agent-1", Start: start,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	for name, text := range map[string]string{
+		"forged":          "AAAAAQ" + sign("acme", "records", 1)[6:] + "x",
+		"another account": sign("other", "records", 1),
+		"another service": sign("acme", "orders", 1),
+		"another start":   sign("acme", "records", 9),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			call := filing
+			call.Ticket = text
+			is.Equal(commands.CallService(context.Background(), newCall(time.Second), call, &recordedAnswer{}).Verdict, verdict.MayHaveRun)
+			call.FirstUse = true
+			is.Equal(commands.CallService(context.Background(), newCall(time.Second), call, &recordedAnswer{}).Verdict, verdict.NotRun)
+			is.Equal(len(a.submits()), 0)
+		})
+	}
+	is := is.New(t)
+	call := filing
+	call.Ticket = sign("acme", "records", 1)
+	is.Equal(commands.CallService(context.Background(), newCall(time.Second), call, &recordedAnswer{}), nil) // a right ticket is accepted
+}
+
+// Guards against running a keyed filing that has no ticket: two such calls
+// could reach two agents.
+func TestKeyWithoutTicketDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	a := f.add("agent-1", wire.Report{Service: "records"}, func(s *fakeStream, _ wire.Message) { answerWith(s, "filed") })
+	call := filing
+	call.IdempotencyKey = "k"
+	e := commands.CallService(context.Background(), newCall(time.Second), call, &recordedAnswer{})
+	is.Equal(e.Status, 428)
+	is.Equal(e.Verdict, verdict.NotRun)
+	is.Equal(len(a.submits()), 0)
+}
+
+// Guards against sending a caller's ticket to another agent, and against a wrong
+// verdict, while the ticket's agent cannot be reached.
+func TestUnreachableTicketAgent(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	a := f.add("agent-1", wire.Report{Service: "records"}, nil)
+	text, _, e := commands.IssueTicket(newCall(time.Second), "records", "")
+	is.Equal(e, nil)
+	a.down = true
+	other := f.add("agent-2", wire.Report{Service: "records"}, func(s *fakeStream, _ wire.Message) { answerWith(s, "filed") })
+	call := filing
+	call.Ticket = text
+	is.Equal(commands.CallService(context.Background(), newCall(50*time.Millisecond), call, &recordedAnswer{}).Verdict, verdict.MayHaveRun)
+	call.FirstUse = true
+	is.Equal(commands.CallService(context.Background(), newCall(50*time.Millisecond), call, &recordedAnswer{}).Verdict, verdict.NotRun)
+	is.Equal(len(other.submits()), 0)
+}
--- /dev/null
+++ b/internal/entry/completion.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/entry/command"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// completionBody writes a completion's answer, as JSON or as events.
+type completionBody struct {
+	api     *callersAPI
+	request *request
+	buffer  *command.Buffer
+	model   string
+	parts   []command.Part
+	end     *command.End
+	// text is the whole answer; it is set for JSON answers only.
+	text  string
+	whole bool
+}
+
+type choice struct {
+	Text         string  `json:"text"`
+	Index        int     `json:"index"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type tokenUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// event is the shape that callers of models know, with the stream token.
+type event struct {
+	ID          string      `json:"id"`
+	Object      string      `json:"object"`
+	Model       string      `json:"model"`
+	Choices     []choice    `json:"choices"`
+	Usage       *tokenUsage `json:"usage,omitempty"`
+	StreamToken string      `json:"stream_token,omitempty"`
+}
+
+func (b *completionBody) event(text string) event {
+	return event{ID: string(b.request.id), Object: "text_completion", Model: b.model, Choices: []choice{{Text: text}}}
+}
+
+func (b *completionBody) lastEvent(text string) event {
+	e := b.event(text)
+	reason := b.end.FinishReason
+	e.Choices[0].FinishReason = &reason
+	e.Usage = &tokenUsage{b.end.PromptTokens, b.end.CompletionTokens, b.end.PromptTokens + b.end.CompletionTokens}
+	return e
+}
+
+// collect waits for the whole answer.
+func (b *completionBody) collect() error {
+	var text strings.Builder
+	for b.end == nil {
+		b.parts, b.end = b.buffer.Next()
+		for _, p := range b.parts {
+			text.WriteString(p.Text)
+		}
+	}
+	if b.end.Refusal != nil {
+		return b.end.Refusal
+	}
+	b.text, b.whole = text.String(), true
+	return nil
+}
+
+// Read is not used: goa calls WriteTo, which can flush after each event.
+func (b *completionBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close lets the run end if it waits for the caller.
+func (b *completionBody) Close() error {
+	b.buffer.Close()
+	return nil
+}
+
+// WriteTo writes the answer.
+func (b *completionBody) WriteTo(w io.Writer) (int64, error) {
+	if b.whole {
+		return 0, json.NewEncoder(w).Encode(b.lastEvent(b.text))
+	}
+	e := b.writeEvents(w)
+	b.api.gate.finished(b.request, e)
+	return 0, nil
+}
+
+func (b *completionBody) writeEvents(w io.Writer) *verdict.Error {
+	for b.end == nil {
+		for _, p := range b.parts {
+			if err := b.writePart(w, p); err != nil {
+				b.buffer.Close()
+				return verdict.Uncertain(verdict.ReasonCanceled, "the caller closed its connection: %v", err)
+			}
+		}
+		flush(w)
+		b.parts, b.end = b.buffer.Next()
+	}
+	return b.writeEnd(w)
+}
+
+func (b *completionBody) writePart(w io.Writer, p command.Part) error {
+	e := b.event(p.Text)
+	e.StreamToken = p.Token
+	data, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", p.Number, data)
+	return err
+}
+
+// writeEnd ends the stream. Without "[DONE]" the caller knows that the answer is
+// not whole and can resume it.
+func (b *completionBody) writeEnd(w io.Writer) *verdict.Error {
+	if e := b.end.Refusal; e != nil {
+		data, _ := json.Marshal(newProblem(b.request.id, e))
+		_, _ = fmt.Fprintf(w, "event: error\ndata: {\"error\":%s}\n\n", data)
+		return e
+	}
+	data, _ := json.Marshal(b.lastEvent(""))
+	_, err := fmt.Fprintf(w, "data: %s\n\ndata: [DONE]\n\n", data)
+	if err != nil {
+		return verdict.Uncertain(verdict.ReasonCanceled, "the caller closed its connection: %v", err)
+	}
+	return nil
+}
+
+func flush(w io.Writer) {
+	if rw, ok := w.(http.ResponseWriter); ok {
+		_ = http.NewResponseController(rw).Flush()
+	}
+}
--- /dev/null
+++ b/internal/entry/leave.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+)
+
+// drain begins a graceful shutdown and returns at once. Nothing reverts it.
+func (p *process) drain() { p.leaveOnce.Do(func() { close(p.leaving) }) }
+
+func (p *process) isLeaving() bool {
+	select {
+	case <-p.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// leave waits for the drain and then leaves: peers learn of it, callers that
+// hold an address answer are served until it expires, and open requests end.
+func (p *process) leave(ctx context.Context) {
+	defer func() { _ = p.server.Close() }()
+	select {
+	case <-p.leaving:
+	case <-ctx.Done():
+		return
+	}
+	p.recorder.Record("entry.leaving", "", events.F("in_flight", p.gate.inFlight.Load()))
+	p.view.SetLeaving()
+	p.links.Push()
+	select {
+	case <-time.After(time.Duration(p.config.AddressLifetime)):
+	case <-ctx.Done():
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(p.config.DrainTimeout))
+	defer cancel()
+	if err := p.server.Shutdown(bounded); err != nil {
+		p.recorder.Record("entry.drain_timeout", "", events.F("in_flight", p.gate.inFlight.Load()))
+	}
+}
--- /dev/null
+++ b/internal/entry/provision.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/adminhttp"
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
+	"github.com/coltsfootbay/coltsfootbay/internal/entry/command"
+	"github.com/coltsfootbay/coltsfootbay/internal/entry/query"
+	"github.com/coltsfootbay/coltsfootbay/internal/entry/usage"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/link"
+	"github.com/coltsfootbay/coltsfootbay/internal/member"
+	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/retry"
+	"github.com/coltsfootbay/coltsfootbay/internal/routing"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/ticket"
+	"github.com/coltsfootbay/coltsfootbay/internal/tomlfile"
+	"github.com/coltsfootbay/coltsfootbay/internal/transport"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// process is an entry process.
+type process struct {
+	config   settings.EntryConfig
+	self     wire.Hello
+	recorder *events.Recorder
+	metrics  *metrics.Metrics
+	store    *config.Store
+	view     *member.View
+	registry *quarantine.Registry
+	endpoint *transport.Endpoint
+	links    *link.Manager
+	tickets  *ticket.File
+	gate     *gate
+	commands *command.Commands
+	queries  *query.Queries
+	listener net.Listener
+	server   *http.Server
+	admin    *adminhttp.Server
+
+	leaveOnce sync.Once
+	leaving   chan struct{}
+}
+
+// validate checks what provision relies on and the settings file's checks do
+// not cover.
+func validate(c settings.EntryConfig) error {
+	if c.Name == "" || c.Zone == "" {
+		return errors.New("name and zone are required")
+	}
+	if c.Limits.BodyBytes <= 0 || c.Limits.Connections <= 0 || c.Limits.Streams <= 0 || c.Limits.StreamBufferBytes <= 0 {
+		return errors.New("limits must be above zero")
+	}
+	return nil
+}
+
+// provision loads the keys and binds the listeners.
+func provision(c settings.EntryConfig, w io.Writer) (*process, error) {
+	p := newProcess(c, w)
+	if err := p.loadAndBind(); err != nil {
+		return nil, errors.Join(err, p.cleanup())
+	}
+	p.build()
+	if err := p.bindAdmin(); err != nil {
+		return nil, errors.Join(err, p.cleanup())
+	}
+	return p, nil
+}
+
+func newProcess(c settings.EntryConfig, w io.Writer) *process {
+	p := &process{config: c, leaving: make(chan struct{})}
+	p.self = wire.Hello{
+		Process: fleet.ProcessID(c.Name), Start: fleet.NewStartID(), Role: fleet.RoleEntry, Zone: fleet.AvailabilityZone(c.Zone),
+		Address: c.PeerAddress, AdminAddress: c.AdminAddress, CallerAddress: c.CallerAddress,
+	}
+	p.recorder = events.NewRecorder(p.self.Process, p.self.Start, w)
+	p.metrics = metrics.New(map[string]string{"process": c.Name, "zone": c.Zone})
+	p.store = config.NewStore(p.recorder)
+	p.registry = quarantine.NewRegistry()
+	return p
+}
+
+func (p *process) loadAndBind() error {
+	var err error
+	if p.tickets, err = ticket.OpenFile(p.config.Keys.Ticket); err != nil {
+		return err
+	}
+	identity, err := transport.LoadIdentity(transport.KeyFiles{
+		Certificate: p.config.Keys.Certificate, Key: p.config.Keys.Key, Authority: p.config.Keys.Authority,
+	})
+	if err != nil {
+		return err
+	}
+	if p.endpoint, err = transport.NewEndpoint(p.config.PeerAddress, identity, p.recorder.Clock, true); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", p.config.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	p.listener = newBoundedListener(l, p.config.Limits.Connections)
+	// A port of 0 in the settings means any free one.
+	p.self.Address, p.self.CallerAddress = p.endpoint.Address(), l.Addr().String()
+	return nil
+}
+
+// build connects the parts.
+func (p *process) build() {
+	p.view = member.NewView(member.Config{Self: p.self, Seeds: p.config.Seeds, AgentSubset: p.config.AgentSubset})
+	p.links = link.NewManager(link.Config{Endpoint: p.endpoint, View: p.view, Store: p.store, Quarantine: p.registry, Recorder: p.recorder})
+	counts := usage.New(p.metrics.Scope)
+	p.commands = &command.Commands{
+		View: p.view, Links: command.ManagedLinks(p.links), Router: routing.NewRouter(routing.Scored, p.self.Zone),
+		Budget: retry.NewBudget(p.config.RetryRatio), Quarantine: p.registry, Store: p.store, Tickets: p.tickets,
+		Recorder: p.recorder, Usage: counts, TicketLifetime: time.Duration(p.config.TicketLifetime),
+		StreamBufferBytes: p.config.Limits.StreamBufferBytes,
+	}
+	p.queries = &query.Queries{
+		View: p.view, Store: p.store, Quarantine: p.registry, Usage: counts,
+		Leaving: p.isLeaving, Started: time.Now(), InFlight: func() int { return int(p.gate.inFlight.Load()) },
+	}
+	p.gate = newGate(p.config, p.commands, p.queries)
+	p.server = &http.Server{
+		Handler:           p.gate,
+		ReadHeaderTimeout: time.Duration(p.config.Limits.ReadTimeout),
+		IdleTimeout:       time.Duration(p.config.Limits.IdleTimeout),
+		MaxHeaderBytes:    p.config.Limits.HeaderBytes,
+		ErrorLog:          log.New(serverLog{p.recorder}, "", 0),
+	}
+}
+
+// newGate returns the handler of the callers' listener.
+func newGate(c settings.EntryConfig, commands *command.Commands, queries *query.Queries) *gate {
+	g := &gate{config: c, store: commands.Store, recorder: commands.Recorder, usage: commands.Usage, leaving: queries.Leaving}
+	api := &callersAPI{gate: g, commands: commands, queries: queries, config: c}
+	g.api, g.services = api.handler(), http.HandlerFunc(api.serveService)
+	return g
+}
+
+func (p *process) bindAdmin() error {
+	extra := &adminAPI{commands: p.commands, queries: p.queries, bodyBytes: p.config.Limits.BodyBytes}
+	var err error
+	p.admin, err = adminhttp.Listen(adminhttp.Options{
+		Address: p.config.AdminAddress, KeyFile: p.config.Keys.Admin, Limits: p.config.Limits, Recorder: p.recorder,
+		Metrics: p.metrics, Ready: p.ready, Status: func() any { return p.queries.Status() }, Drain: p.drain, Extra: extra.handler(),
+	})
+	return err
+}
+
+func (p *process) ready() error {
+	if p.isLeaving() {
+		return errors.New("the process is leaving")
+	}
+	if !p.store.Ready() {
+		return errors.New("no configuration has arrived yet")
+	}
+	return nil
+}
+
+// cleanup closes what provision opened.
+func (p *process) cleanup() error {
+	var errs []error
+	if p.listener != nil {
+		if err := p.listener.Close(); !errors.Is(err, net.ErrClosed) {
+			errs = append(errs, err)
+		}
+	}
+	if p.endpoint != nil {
+		errs = append(errs, p.endpoint.Close())
+	}
+	return errors.Join(append(errs, p.metrics.Close())...)
+}
+
+// serverLog records what net/http logs about connections.
+type serverLog struct{ recorder *events.Recorder }
+
+// Write records one line.
+func (l serverLog) Write(line []byte) (int, error) {
+	l.recorder.Record("caller.connection_failed", "", events.F("error", string(line)))
+	return len(line), nil
+}
+
+func seconds(d tomlfile.Duration) int64 { return int64(time.Duration(d) / time.Second) }
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,67 @@
+// Package entry runs an entry process: it terminates callers' HTTP, admits and
+// routes requests, and relays the answers of the agents.
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+)
+
+// Run runs an entry process and logs to w. It returns nil after a graceful
+// shutdown, which begins when ctx is done, and an error if it cannot start or a
+// part of it fails.
+func Run(ctx context.Context, c settings.EntryConfig, w io.Writer) error {
+	if err := validate(c); err != nil {
+		return err
+	}
+	p, err := provision(c, w)
+	if err != nil {
+		return err
+	}
+	return errors.Join(p.run(ctx), p.cleanup())
+}
+
+// run serves until the process has left or a part fails. The parts outlive ctx,
+// because a leaving process still serves.
+func (p *process) run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, p.drain)()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return p.links.Run(running) })
+	group.Go(func() error { return p.newWatcher().Run(running) })
+	group.Go(func() error { return p.admin.Run(running) })
+	group.Go(func() error { p.feedVMs(running); return nil })
+	group.Go(func() error { watchPauses(running, p.paused); return nil })
+	group.Go(p.serve)
+	group.Go(func() error {
+		p.leave(running)
+		stop()
+		return nil
+	})
+	p.recorder.Record("entry.started", "", events.F("callers", p.self.CallerAddress))
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (p *process) serve() error {
+	if err := p.server.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (p *process) paused(late time.Duration) {
+	p.view.Paused()
+	p.recorder.Record("entry.paused", "", events.F("late_ms", late.Milliseconds()))
+}
