--- a/internal/entry/admin.go
+++ b/internal/entry/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 
 	goahttp "goa.design/goa/v3/http"
 	"goa.design/goa/v3/security"
@@ -30,11 +31,33 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		q := &request{id: fleet.NewRequestID(), writer: w}
 		w.Header().Set("Request-Id", string(q.id))
+		if allowed := adminMethod(r.URL.Path); allowed == "" {
+			writeProblem(w, q.id, verdict.Refuse(http.StatusNotFound, verdict.ReasonBadRequest, "path %q does not exist", r.URL.Path))
+			return
+		} else if r.Method != allowed {
+			writeProblem(w, q.id, methodNotAllowed(w, allowed))
+			return
+		}
 		r.Body = http.MaxBytesReader(w, r.Body, a.bodyBytes)
 		mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestKey{}, q)))
 	})
 }
 
+// adminMethod returns the method of a path, or "" if it does not exist. goa's
+// router would answer in plain text.
+func adminMethod(path string) string {
+	switch path {
+	case "/admin/v1/configuration", "/admin/v1/members", "/admin/v1/quarantine", "/admin/v1/usage":
+		return http.MethodGet
+	case "/admin/v1/validate":
+		return http.MethodPost
+	}
+	if rest, ok := strings.CutPrefix(path, "/admin/v1/quarantine/"); ok && rest != "" && !strings.Contains(rest, "/") {
+		return http.MethodDelete
+	}
+	return ""
+}
+
 func formatAdmin(ctx context.Context, err error) goahttp.Statuser {
 	q := requestFrom(ctx)
 	e := failure(err)
--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -81,11 +81,13 @@
 	defer context.AfterFunc(ctx, s.buffer.Close)()
 	s.commands.Usage.Stream(1)
 	defer s.commands.Usage.Stream(-1)
+	resumed := s.order.tokens
 	end := s.runAttempts(ctx, from)
 	if end.Refusal == nil {
 		s.succeeded()
 	}
-	s.commands.Usage.Used(s.call.Account.ID, end.PromptTokens, end.CompletionTokens)
+	// Another entry counted the tokens before a resume.
+	s.commands.Usage.Used(s.call.Account.ID, end.PromptTokens, s.order.tokens-resumed)
 	s.buffer.finish(end)
 }
 
--- a/internal/entry/command/exchange.go
+++ b/internal/entry/command/exchange.go
@@ -30,28 +30,42 @@
 	start  fleet.StartID
 	ended  func()
 	stop   func() bool
+	// cancel tells that an abandoned run is to be canceled; final tells that
+	// the agent sends no more.
+	cancel bool
+	final  bool
 }
 
 // newExchange ties a stream to ctx. When ctx ends, the agent is told to cancel
 // if cancel is set, and Receive returns.
 func newExchange(ctx context.Context, s Stream, agent fleet.ProcessID, start fleet.StartID, cancel bool) *exchange {
-	x := &exchange{stream: s, agent: agent, start: start, ended: func() {}}
+	x := &exchange{stream: s, agent: agent, start: start, ended: func() {}, cancel: cancel}
 	x.stop = context.AfterFunc(ctx, func() {
-		if cancel {
-			s.SetWriteDeadline(time.Now().Add(cancelTimeout))
-			_ = s.Send(&wire.Cancel{})
-		}
+		x.sendCancel()
 		s.SetReadDeadline(time.Now())
 	})
 	return x
 }
 
+// sendCancel also bounds a Submit that is still being written.
+func (x *exchange) sendCancel() {
+	x.stream.SetWriteDeadline(time.Now().Add(cancelTimeout))
+	if x.cancel {
+		_ = x.stream.Send(&wire.Cancel{})
+	}
+}
+
 // receive returns the next message, or errLost.
 func (x *exchange) receive() (wire.Message, error) {
 	m, err := x.stream.Receive()
 	if err != nil {
+		x.final = true
 		return nil, errLost
 	}
+	switch m.(type) {
+	case *wire.Done, *wire.Refused:
+		x.final = true
+	}
 	return m, nil
 }
 
@@ -59,8 +73,11 @@
 func (x *exchange) close() {
 	x.ended()
 	if x.stop() {
-		x.stream.Abort()
-		return
+		if x.final {
+			x.stream.Abort()
+			return
+		}
+		x.sendCancel()
 	}
 	go func() {
 		x.stream.SetReadDeadline(time.Now().Add(drainTimeout))
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -79,6 +79,8 @@
 	if g.leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	// The deadline of an earlier request on the connection is still set.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(time.Duration(g.config.Limits.ReadTimeout) + writeGrace))
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	r = r.WithContext(context.WithValue(r.Context(), requestKey{}, q))
@@ -207,9 +209,9 @@
 
 // finished records and counts the end of a request; e is nil after success.
 func (g *gate) finished(q *request, e *verdict.Error) {
-	rank := fleet.RankBottom
+	rank := ""
 	if q.call != nil {
-		rank = q.call.Rank
+		rank = q.call.Rank.String()
 	}
 	if e == nil {
 		g.usage.Finished(rank, "completed")
--- a/internal/entry/usage/usage.go
+++ b/internal/entry/usage/usage.go
@@ -80,9 +80,10 @@
 	u.scope.Gauge("streams_open").Update(float64(u.open))
 }
 
-// Finished counts a request by its result.
-func (u *Usage) Finished(rank fleet.Rank, result string) {
-	u.scope.Tagged(map[string]string{"rank": rank.String(), "result": result}).Counter("requests").Inc(1)
+// Finished counts a request by its result. The rank is empty if the request was
+// refused before its account was known.
+func (u *Usage) Finished(rank, result string) {
+	u.scope.Tagged(map[string]string{"rank": rank, "result": result}).Counter("requests").Inc(1)
 }
 
 // Used adds the tokens of a request to its account.
