Blame the server start that a request was sent to

After a lost link the view may no longer hold the agent's report, and a crash without a server start would count as a second crash beside the agent's own blame, which would quarantine a request after one crash. The exchange keeps the start from the time of sending. Looking it up at the loss was ruled out for the same reason.

Refusals with status 429 and 503 always carry Retry-After. The test of a restarted agent passed without the check of the start, because its script cut every stream; its new start now calls the ticket spent, and the test fails without the check.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -126,6 +126,7 @@
 	}
 	// The run has begun but not ended when the header is written.
 	q.writer.Header().Set("Verdict", string(verdict.MayHaveRun))
+	q.writer.Header().Set("Cache-Control", "no-cache")
 	return &callers.CompletionsResult{ContentType: "text/event-stream"}, b, nil
 }
 
--- a/internal/entry/command/attempts.go
+++ b/internal/entry/command/attempts.go
@@ -59,6 +59,7 @@
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonLinkLost, "agent %s cannot be reached", agent.Hello.Process)
 	}
 	x := newExchange(ctx, s, agent.Hello.Process, start, cancel)
+	x.server = agent.Report.ServerStart
 	x.ended = a.commands.Router.Sent(agent.Hello.Process, a.query)
 	return x, nil
 }
@@ -74,14 +75,15 @@
 		return deadlineOrCanceled(ctx)
 	}
 	if x.stream.LinkLost() {
-		a.blame(ctx, x.agent)
+		a.blame(ctx, x)
 	}
 	return verdict.Uncertain(verdict.ReasonLinkLost, "the link to agent %s was lost", x.agent)
 }
 
-func (a *attempts) blame(ctx context.Context, process fleet.ProcessID) {
-	agent, _ := a.commands.View.Agent(process)
-	crash := wire.Crash{Agent: process, ServerStart: agent.Report.ServerStart}
+// blame names the server start that the request was sent to, so that the agent's
+// own blame for the same crash does not count as a second one.
+func (a *attempts) blame(ctx context.Context, x *exchange) {
+	crash := wire.Crash{Agent: x.agent, ServerStart: x.server}
 	s := a.commands.Quarantine.Blame(a.call.Fingerprint, a.call.Account.ID, crash)
 	a.commands.Links.PublishSuspicions(ctx, []wire.Suspicion{s})
 }
--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -142,7 +142,9 @@
 		defer cancel()
 		stream, start, openErr := s.commands.waitOpen(short, x.agent)
 		if openErr == nil && start == x.start {
-			end, e := s.attachOver(ctx, newExchange(ctx, stream, x.agent, start, true))
+			again := newExchange(ctx, stream, x.agent, start, true)
+			again.server = x.server
+			end, e := s.attachOver(ctx, again)
 			if e == nil {
 				return end, nil
 			}
--- a/internal/entry/command/completion_test.go
+++ b/internal/entry/command/completion_test.go
@@ -172,3 +172,14 @@
 	b.Next()
 	is.True(<-taken)
 }
+
+// Guards against callers who raise their own rank above their template's.
+func TestRankIsNeverRaised(t *testing.T) {
+	is := is.New(t)
+	account := newCall(0).Account // middle
+	for wish, want := range map[string]fleet.Rank{"": fleet.RankMiddle, "top": fleet.RankMiddle, "middle": fleet.RankMiddle, "bottom": fleet.RankBottom} {
+		rank, e := Rank(account, wish)
+		is.Equal(e, nil)
+		is.Equal(rank, want)
+	}
+}
--- a/internal/entry/command/exchange.go
+++ b/internal/entry/command/exchange.go
@@ -28,6 +28,8 @@
 	stream Stream
 	agent  fleet.ProcessID
 	start  fleet.StartID
+	// server is the backend server's start when the request was sent.
+	server string
 	ended  func()
 	stop   func() bool
 	// cancel tells that an abandoned run is to be canceled; final tells that
--- a/internal/entry/command/fake_test.go
+++ b/internal/entry/command/fake_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,7 +115,7 @@
 type fakeFleet struct {
 	agents    map[fleet.ProcessID]*fakeAgent
 	reports   map[fleet.ProcessID]member.Agent
-	published int
+	published atomic.Int32
 }
 
 func (f *fakeFleet) Agents() []member.Agent {
@@ -150,7 +151,7 @@
 	return f.Open(ctx, id)
 }
 
-func (f *fakeFleet) PublishSuspicions(context.Context, []wire.Suspicion) { f.published++ }
+func (f *fakeFleet) PublishSuspicions(context.Context, []wire.Suspicion) { f.published.Add(1) }
 
 func (f *fakeFleet) add(id fleet.ProcessID, report wire.Report, script func(*fakeStream, wire.Message)) *fakeAgent {
 	a := &fakeAgent{start: 1, script: script}
--- a/internal/entry/command/once_test.go
+++ b/internal/entry/command/once_test.go
@@ -64,17 +64,22 @@
 			}
 			is.Equal(got, c.want)
 			is.Equal(len(agents[0].submits())+len(agents[1].submits()), 1) // one agent gets the filing, once
-			is.True(f.published > 0)                                       // the others know of the suspicion before the answer
+			is.True(f.published.Load() > 0)                                // the others know of the suspicion before the answer
 		})
 	}
 }
 
-// Guards against a false not_run when the agent that got a filing restarted.
+// Guards against a false not_run when the agent that got a filing restarted: its
+// new start has not seen the ticket and would call it unused.
 func TestRestartedAgentMeansMayHaveRun(t *testing.T) {
 	is := is.New(t)
 	f, commands := newFleet(t)
 	var a *fakeAgent
 	a = f.add("agent-1", wire.Report{Service: "records"}, func(s *fakeStream, m wire.Message) {
+		if _, ok := m.(*wire.Resolve); ok {
+			s.reply(&wire.Refused{Verdict: verdict.NotRun, Reason: verdict.ReasonTicketSpent, Status: 503, TicketSpent: true})
+			return
+		}
 		a.mu.Lock()
 		a.start = 2
 		a.mu.Unlock()
--- a/internal/entry/command/resume.go
+++ b/internal/entry/command/resume.go
@@ -63,6 +63,7 @@
 		return nil, verdict.Uncertain(verdict.ReasonOtherStart, "agent %s restarted", agent)
 	}
 	x := newExchange(ctx, stream, agent, start, true)
+	x.server = s.commands.serverStart(agent)
 	s.token = s.streamToken(agent, start)
 	s.order.begin(0)
 	return s.attachOver(ctx, x)
--- a/internal/entry/command/tickets.go
+++ b/internal/entry/command/tickets.go
@@ -90,6 +90,7 @@
 	}
 	c.Recorder.Record("request.routed", a.call.ID, events.F("agent", t.Agent), events.F("ticket", t.Request))
 	x := newExchange(ctx, stream, t.Agent, start, false)
+	x.server = c.serverStart(t.Agent)
 	x.ended = c.Router.Sent(t.Agent, a.query)
 	attempt := uint32(2)
 	if s.FirstUse {
@@ -100,6 +101,11 @@
 	return c.submitOnce(ctx, &bound, x, s, s.Ticket, attempt, sink)
 }
 
+func (c *Commands) serverStart(agent fleet.ProcessID) string {
+	a, _ := c.View.Agent(agent)
+	return a.Report.ServerStart
+}
+
 func (c *Commands) checkTicket(call *Call, s ServiceCall) (ticket.Token, *verdict.Error) {
 	t, err := c.Tickets.Keyring().Verify(s.Ticket, ticket.PurposeTicket)
 	switch {
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -46,6 +46,7 @@
 type request struct {
 	id       fleet.RequestID
 	writer   http.ResponseWriter
+	received time.Time
 	call     *command.Call
 	body     []byte
 	ticketed bool
@@ -70,7 +71,7 @@
 
 // ServeHTTP checks and passes on one request.
 func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	q := &request{id: fleet.NewRequestID(), writer: w}
+	q := &request{id: fleet.NewRequestID(), writer: w, received: time.Now()}
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
 		q.ticketed = len(r.Header.Values("Ticket")) > 0
 		q.firstUse = r.Header.Get("Ticket-Attempt") == "1"
@@ -215,7 +216,7 @@
 	}
 	if e == nil {
 		g.usage.Finished(rank, "completed")
-		g.recorder.Record("request.completed", q.id)
+		g.recorder.Record("request.completed", q.id, events.F("duration_ms", time.Since(q.received).Milliseconds()))
 		return
 	}
 	g.usage.Finished(rank, string(e.Reason))
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -45,8 +45,12 @@
 func setProblemHeaders(h http.Header, e *verdict.Error) {
 	h.Set("Content-Type", problemType)
 	h.Set("Verdict", string(e.Verdict))
-	if e.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	wait := e.RetryAfter
+	if wait <= 0 && (e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests) {
+		wait = busyRetryAfter
+	}
+	if wait > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
 	}
 }
 
