--- /dev/null
+++ b/internal/dynamic/compute.go
@@ -0,0 +1,229 @@
+package dynamic
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// Compute returns the configuration of a set of valid documents. The result
+// depends on the set alone and not on the order. When two documents define the
+// same account id or key hash, the account of the document with the lower
+// revision is in force, and the lower name at equal revisions. An account with
+// an unknown template claims neither its id nor its key.
+func Compute(documents []wire.Document) *Effective {
+	b := newBuilder()
+	for _, d := range inOrder(documents) {
+		b.add(d)
+	}
+	b.checkTemplates()
+	b.addAccounts()
+	b.scaleShares()
+	return b.effective
+}
+
+// inOrder returns the documents that are in force by revision, name and body.
+func inOrder(documents []wire.Document) []wire.Document {
+	var present []wire.Document
+	for _, d := range documents {
+		if !d.Deleted {
+			present = append(present, d)
+		}
+	}
+	slices.SortFunc(present, func(x, y wire.Document) int {
+		return cmp.Or(cmp.Compare(x.Revision, y.Revision), cmp.Compare(x.Name, y.Name), cmp.Compare(x.Body, y.Body))
+	})
+	return present
+}
+
+type builder struct {
+	effective *Effective
+	adapters  map[string]bool
+	accounts  []wire.Document
+}
+
+func newBuilder() *builder {
+	return &builder{
+		effective: &Effective{
+			Models:     map[string]Model{},
+			Services:   map[string]Service{},
+			Templates:  map[string]*Template{},
+			Accounts:   map[KeyHash]*Account{},
+			ByID:       map[fleet.ClientAccount]*Account{},
+			ShareScale: 1,
+		},
+		adapters: map[string]bool{},
+	}
+}
+
+func (b *builder) add(d wire.Document) {
+	kind, name, _ := strings.Cut(d.Name, "/")
+	switch kind {
+	case kindModel:
+		b.addModel(name, d)
+	case kindTemplate:
+		b.addTemplate(name, d)
+	case kindService:
+		b.addService(name, d)
+	case kindAccount:
+		b.accounts = append(b.accounts, d)
+	}
+}
+
+// decode fills target without the line numbers that Validate needs. A document
+// that does not decode is listed; a valid one always decodes.
+func (b *builder) decode(d wire.Document, target any) bool {
+	if err := toml.Unmarshal([]byte(d.Body), target); err != nil {
+		b.inactive(d.Name, "document", "does not decode")
+		return false
+	}
+	return true
+}
+
+func (b *builder) inactive(document, reference, reason string) {
+	b.effective.Inactive = append(b.effective.Inactive, Inactive{Document: document, Reference: reference, Reason: reason})
+}
+
+func (b *builder) addModel(name string, d wire.Document) {
+	var m modelSchema
+	if !b.decode(d, &m) {
+		return
+	}
+	b.effective.Models[name] = Model{Name: name, Adapters: m.Adapters, Versions: m.Versions}
+	for _, adapter := range m.Adapters {
+		b.adapters[adapter] = true
+	}
+}
+
+func (b *builder) addService(name string, d wire.Document) {
+	var s serviceSchema
+	if !b.decode(d, &s) {
+		return
+	}
+	service := Service{Name: name}
+	for _, r := range s.Rules {
+		service.Rules = append(service.Rules, Rule(r))
+	}
+	b.effective.Services[name] = service
+}
+
+// defaultWorth weighs the requests of a template that sets no worth.
+const defaultWorth = 1
+
+func (b *builder) addTemplate(name string, d wire.Document) {
+	t := templateSchema{Worth: defaultWorth}
+	if !b.decode(d, &t) {
+		return
+	}
+	rank, err := fleet.ParseRank(t.Rank)
+	if err != nil {
+		b.inactive(d.Name, "rank "+t.Rank, "unknown rank")
+		return
+	}
+	b.effective.Templates[name] = &Template{
+		Name: name, Rank: rank, Share: t.Share,
+		Models: t.Models, Adapters: t.Adapters, Services: t.Services,
+		FirstToken: time.Duration(t.FirstToken), BetweenTokens: time.Duration(t.BetweenTokens),
+		MaxAge: time.Duration(t.MaxAge), Worth: t.Worth,
+	}
+}
+
+// checkTemplates removes references to what does not exist.
+func (b *builder) checkTemplates() {
+	for _, name := range sortedKeys(b.effective.Templates) {
+		t := b.effective.Templates[name]
+		t.Models = b.keep(name, "model", t.Models, func(n string) bool { _, ok := b.effective.Models[n]; return ok })
+		t.Adapters = b.keep(name, "adapter", t.Adapters, func(n string) bool { return b.adapters[n] })
+		t.Services = b.keep(name, "service", t.Services, func(n string) bool { _, ok := b.effective.Services[n]; return ok })
+	}
+}
+
+func (b *builder) keep(template, kind string, names []string, exists func(string) bool) []string {
+	var kept []string
+	for _, n := range names {
+		if exists(n) {
+			kept = append(kept, n)
+			continue
+		}
+		b.inactive(kindTemplate+"/"+template, kind+" "+n, kind+" does not exist")
+	}
+	return kept
+}
+
+func (b *builder) addAccounts() {
+	for _, d := range b.accounts {
+		var a accountsSchema
+		if b.decode(d, &a) {
+			b.addDocumentAccounts(d.Name, a.Accounts)
+		}
+	}
+}
+
+func (b *builder) addDocumentAccounts(document string, accounts []accountSchema) {
+	// One array per document saves the allocator's overhead per account.
+	array := make([]Account, 0, len(accounts))
+	for _, a := range accounts {
+		template, ok := b.effective.Templates[a.Template]
+		if !ok {
+			b.inactive(document, "account "+a.ID, "template "+a.Template+" does not exist")
+			continue
+		}
+		key, err := parseKeyHash(a.KeySHA256)
+		if err != nil || b.taken(document, a.ID, key) {
+			continue
+		}
+		array = append(array, Account{ID: fleet.ClientAccount(a.ID), Template: template, Share: shareOf(a, template)})
+		added := &array[len(array)-1]
+		b.effective.Accounts[key] = added
+		b.effective.ByID[added.ID] = added
+	}
+}
+
+func (b *builder) taken(document, id string, key KeyHash) bool {
+	if _, ok := b.effective.ByID[fleet.ClientAccount(id)]; ok {
+		b.inactive(document, "account "+id, "a document of a lower revision has the same id")
+		return true
+	}
+	if _, ok := b.effective.Accounts[key]; ok {
+		b.inactive(document, "account "+id, "a document of a lower revision has the same key")
+		return true
+	}
+	return false
+}
+
+func shareOf(a accountSchema, t *Template) float64 {
+	if a.Share != nil {
+		return *a.Share
+	}
+	return t.Share
+}
+
+// scaleShares adds in the order of ids, because a floating-point sum depends
+// on its order.
+func (b *builder) scaleShares() {
+	sum := 0.0
+	for _, id := range sortedKeys(b.effective.ByID) {
+		sum += b.effective.ByID[id].Share
+	}
+	if sum > 1 {
+		b.effective.ShareScale = 1 / sum
+	}
+	for _, a := range b.effective.ByID {
+		a.EffectiveShare = a.Share * b.effective.ShareScale
+	}
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -136,7 +136,9 @@
 
 // InRange notes a fault if value is outside low to high, inclusive.
 func InRange[T Number](f *File, key string, value, low, high T) {
-	if value < low || value > high {
+	// Every comparison with NaN, which TOML can express, is false.
+	inside := value >= low && value <= high
+	if !inside {
 		f.Add(key, fmt.Sprintf("%v to %v", low, high), "%v is out of range", value)
 	}
 }
