Hold documents by the merge rule and follow the platform

The store keeps per document the maximum of all revisions and of all valid ones. A full listing counts as a deletion, at its revision, of every document that it lacks, including documents that become known later; otherwise the result would depend on the order of a listing and an older document.

Ruled out: a deletion only for documents known when the listing arrives.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -4,6 +4,10 @@
 package config
 
 import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/dynamic"
@@ -44,51 +48,169 @@
 	Rejected string `json:"rejected,omitempty"`
 }
 
+// neverHeard is the platform age of a process that has heard of no answer.
+const neverHeard = 365 * 24 * time.Hour
+
 // Store holds the latest and the last good revision of each document. It is
 // safe for concurrent use.
-type Store struct{}
+type Store struct {
+	recorder  *events.Recorder
+	effective atomic.Pointer[dynamic.Effective]
+	vms       atomic.Pointer[[]VM]
+
+	// merging serialises merges, so that mu is never held during validation
+	// and computation.
+	merging sync.Mutex
+
+	mu       sync.Mutex
+	records  map[string]*record
+	hash     uint64
+	revision uint64
+	// listed is the highest revision of a full listing; documents that are
+	// still unknown were absent from it.
+	listed  uint64
+	changed chan struct{}
+	// heard is when the platform last answered this process or one it heard
+	// from; zero means never.
+	heard time.Time
+}
 
 // NewStore returns an empty store that records what it accepts and rejects.
-func NewStore(recorder *events.Recorder) *Store { return &Store{} }
+func NewStore(recorder *events.Recorder) *Store {
+	s := &Store{recorder: recorder, records: map[string]*record{}, changed: make(chan struct{})}
+	s.effective.Store(dynamic.Compute(nil))
+	return s
+}
 
 // Merge adds documents from the platform or a peer and returns those that were
 // new to this process, for passing on.
-func (s *Store) Merge(documents []wire.Document, storeRevision uint64) []wire.Document { return nil }
+func (s *Store) Merge(documents []wire.Document, storeRevision uint64) []wire.Document {
+	s.merging.Lock()
+	defer s.merging.Unlock()
+	m := s.newMerge()
+	m.addAll(documents)
+	return m.finish(storeRevision)
+}
 
 // MergeListing adds a complete listing at a platform revision: a document that
-// the listing lacks and whose revision is lower becomes deleted.
-func (s *Store) MergeListing(documents []wire.Document, revision uint64) []wire.Document { return nil }
+// the listing lacks and whose revision is lower becomes deleted. The deletions
+// are returned with the documents that were new.
+func (s *Store) MergeListing(documents []wire.Document, revision uint64) []wire.Document {
+	s.merging.Lock()
+	defer s.merging.Unlock()
+	m := s.newMerge()
+	m.addAll(documents)
+	m.addAbsent(documents, revision)
+	return m.finish(revision)
+}
 
 // Effective returns the configuration in force. It is never nil.
-func (s *Store) Effective() *dynamic.Effective { return &dynamic.Effective{ShareScale: 1} }
-
-// Ready reports whether the store holds any document.
-func (s *Store) Ready() bool { return false }
+func (s *Store) Effective() *dynamic.Effective { return s.effective.Load() }
+
+// Ready reports whether the store holds any document of the configuration. The
+// VM list alone does not count.
+func (s *Store) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, vms := s.records[VMListDocument]
+	return len(s.records) > 1 || (len(s.records) == 1 && !vms)
+}
 
-// VMs returns the newest VM list.
-func (s *Store) VMs() []VM { return nil }
+// VMs returns the newest VM list. The caller must not change it.
+func (s *Store) VMs() []VM {
+	if list := s.vms.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
 
 // Hash summarises the revisions held; equal stores have equal hashes.
-func (s *Store) Hash() uint64 { return 0 }
+func (s *Store) Hash() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hash
+}
 
 // Revision returns the highest platform revision seen.
-func (s *Store) Revision() uint64 { return 0 }
+func (s *Store) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
 
 // Digest lists the revisions held.
-func (s *Store) Digest() wire.ConfigDigest { return wire.ConfigDigest{} }
+func (s *Store) Digest() wire.ConfigDigest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := wire.ConfigDigest{StoreRevision: s.revision}
+	for _, name := range s.names() {
+		r := s.records[name]
+		d.Versions = append(d.Versions, wire.DocumentVersion{Name: name, Latest: r.latest.Revision, Good: r.good.Revision})
+	}
+	return d
+}
 
-// Missing returns the documents that the sender of a digest lacks.
-func (s *Store) Missing(d wire.ConfigDigest) []wire.Document { return nil }
+// Missing returns the documents that the sender of a digest lacks: both the
+// latest and the last good revision where they differ.
+func (s *Store) Missing(d wire.ConfigDigest) []wire.Document {
+	theirs := make(map[string]wire.DocumentVersion, len(d.Versions))
+	for _, v := range d.Versions {
+		theirs[v.Name] = v
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var missing []wire.Document
+	for _, name := range s.names() {
+		r, v := s.records[name], theirs[name]
+		if r.latest.Revision > v.Latest || r.good.Revision > v.Good {
+			missing = append(missing, r.documents()...)
+		}
+	}
+	return missing
+}
 
 // Status lists every document with the revision in force.
-func (s *Store) Status() []DocumentStatus { return nil }
+func (s *Store) Status() []DocumentStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []DocumentStatus
+	for _, name := range s.names() {
+		r := s.records[name]
+		list = append(list, DocumentStatus{Name: name, Latest: r.latest.Revision, InForce: r.good.Revision, Deleted: r.good.Deleted, Rejected: r.rejected})
+	}
+	return list
+}
+
+// names returns the sorted names of the records. The caller holds mu.
+func (s *Store) names() []string { return slices.Sorted(maps.Keys(s.records)) }
 
 // Changed returns a channel that is closed at the next change.
-func (s *Store) Changed() <-chan struct{} { return nil }
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
 
 // PlatformAge returns the time since this process, or one it heard from, last
-// got an answer from the platform.
-func (s *Store) PlatformAge() time.Duration { return 0 }
+// got an answer from the platform. It is a year if there was none.
+func (s *Store) PlatformAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard.IsZero() {
+		return neverHeard
+	}
+	return time.Since(s.heard)
+}
 
 // HeardPlatform notes that the platform answered somebody age ago.
-func (s *Store) HeardPlatform(age time.Duration) {}
+func (s *Store) HeardPlatform(age time.Duration) {
+	if age >= neverHeard {
+		return
+	}
+	at := time.Now().Add(-max(age, 0))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.heard) {
+		s.heard = at
+	}
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,170 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// platformHistory draws what a platform published: each revision changes one
+// document, sometimes to an invalid body or a deletion.
+func platformHistory(t *rapid.T) []wire.Document {
+	var history []wire.Document
+	names := []string{"models/a", "models/b", "templates/t", "accounts/x", "accounts/y"}
+	for revision := range rapid.IntRange(1, 20).Draw(t, "revisions") {
+		d := wire.Document{Name: rapid.SampledFrom(names).Draw(t, "name"), Revision: uint64(revision + 1)}
+		switch rapid.IntRange(0, 3).Draw(t, "content") {
+		case 0:
+			d.Deleted = true
+		case 1:
+			d.Body = "unknown = 1"
+		default:
+			d.Body = validBody(d.Name, revision)
+		}
+		history = append(history, d)
+	}
+	return history
+}
+
+func validBody(name string, n int) string {
+	switch name[0] {
+	case 'm':
+		return fmt.Sprintf("adapters = [\"a%d\"]", n)
+	case 't':
+		return fmt.Sprintf("rank = \"top\"\nshare = 0.9\nmodels = [\"a\"]\nadapters = [\"a%d\"]", n)
+	}
+	return fmt.Sprintf("[[account]]\nid = \"id%d\"\ntemplate = \"t\"\nkey_sha256 = \"%064d\"\n", n%3, n%4)
+}
+
+// listingAt returns the documents that exist at a revision, without deleted
+// ones.
+func listingAt(history []wire.Document, revision int) []wire.Document {
+	newest := map[string]wire.Document{}
+	for _, d := range history[:revision] {
+		newest[d.Name] = d
+	}
+	var listing []wire.Document
+	for _, d := range newest {
+		if !d.Deleted {
+			listing = append(listing, d)
+		}
+	}
+	return listing
+}
+
+type delivery func(s *Store)
+
+func deliveries(t *rapid.T, history []wire.Document) []delivery {
+	var all []delivery
+	for _, d := range history {
+		all = append(all, func(s *Store) { s.Merge([]wire.Document{d}, d.Revision) })
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "listings") {
+		revision := rapid.IntRange(1, len(history)).Draw(t, "at")
+		listing := listingAt(history, revision)
+		all = append(all, func(s *Store) { s.MergeListing(listing, uint64(revision)) })
+	}
+	return all
+}
+
+// Guards against processes that hold different configurations although they
+// received the same documents and listings in another order, twice, in other
+// batches or stale.
+func TestMergeIgnoresOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := platformHistory(t)
+		all := deliveries(t, history)
+		one, two, three := NewStore(nil), NewStore(nil), NewStore(nil)
+		for _, deliver := range all {
+			one.checkMonotonic(t, deliver)
+		}
+		shuffled := rapid.Permutation(append(all, all[:len(all)/2]...)).Draw(t, "order")
+		for _, deliver := range shuffled {
+			two.checkMonotonic(t, deliver)
+		}
+		cut := rapid.IntRange(0, len(history)).Draw(t, "cut")
+		three.Merge(rapid.Permutation(history[cut:]).Draw(t, "batch"), 0)
+		for _, deliver := range all {
+			deliver(three)
+		}
+		requireEqual(t, one, two)
+		requireEqual(t, one, three)
+	})
+}
+
+// checkMonotonic applies a delivery and fails if a revision went back.
+func (s *Store) checkMonotonic(t *rapid.T, deliver delivery) {
+	before := map[string]wire.DocumentVersion{}
+	for _, v := range s.Digest().Versions {
+		before[v.Name] = v
+	}
+	deliver(s)
+	for _, v := range s.Digest().Versions {
+		if v.Latest < before[v.Name].Latest || v.Good < before[v.Name].Good {
+			t.Fatalf("%s went back from %+v to %+v", v.Name, before[v.Name], v)
+		}
+	}
+}
+
+func requireEqual(t *rapid.T, a, b *Store) {
+	if !reflect.DeepEqual(a.Status(), b.Status()) {
+		t.Fatalf("status differs:\n%+v\n%+v", a.Status(), b.Status())
+	}
+	if a.Hash() != b.Hash() || a.Revision() != b.Revision() {
+		t.Fatalf("hash %d %d, revision %d %d", a.Hash(), b.Hash(), a.Revision(), b.Revision())
+	}
+	if !reflect.DeepEqual(a.Effective(), b.Effective()) {
+		t.Fatalf("effective configuration differs:\n%+v\n%+v", a.Effective(), b.Effective())
+	}
+}
+
+// Guards against peers that stay different after they exchanged digests, also
+// when each saw other documents and listings.
+func TestExchangeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := deliveries(t, platformHistory(t))
+		a, b := NewStore(nil), NewStore(nil)
+		for _, deliver := range all {
+			if rapid.Bool().Draw(t, "to a") {
+				deliver(a)
+			} else {
+				deliver(b)
+			}
+		}
+		for range 2 {
+			b.Merge(a.Missing(b.Digest()), a.Revision())
+			a.Merge(b.Missing(a.Digest()), b.Revision())
+		}
+		requireEqual(t, a, b)
+	})
+}
+
+// Guards against an invalid revision that ends the last good one, on the
+// process that saw both and on a new process that learns from it.
+func TestLastGoodStaysInForce(t *testing.T) {
+	is := is.New(t)
+	s := NewStore(nil)
+	is.True(!s.Ready())
+	changed := s.Changed()
+	good := wire.Document{Name: "models/a", Revision: 1}
+	is.Equal(len(s.Merge([]wire.Document{good}, 1)), 1)
+	<-changed
+	is.Equal(len(s.Merge([]wire.Document{good}, 1)), 0)
+	s.Merge([]wire.Document{{Name: "models/a", Revision: 2, Body: "x = 1"}}, 2)
+
+	late := NewStore(nil)
+	late.Merge(s.Missing(late.Digest()), s.Revision())
+	for _, store := range []*Store{s, late} {
+		status := store.Status()[0]
+		is.Equal(status.InForce, uint64(1))
+		is.Equal(status.Latest, uint64(2))
+		is.True(status.Rejected != "")
+		is.Equal(len(store.Effective().Models), 1)
+		is.True(store.Ready())
+	}
+}
--- /dev/null
+++ b/internal/config/watcher_test.go
@@ -0,0 +1,147 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// fakePlatform answers at once and counts its calls.
+type fakePlatform struct {
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	calls    map[string]int
+}
+
+func (p *fakePlatform) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
+func (p *fakePlatform) count(path string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[path]
+}
+
+func (p *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[r.URL.Path]++
+	if p.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/v1/vms" {
+		vms := []VM{{Name: "e1", Role: "entry", Address: "127.0.0.1:1", Zone: "a", State: VMLive}}
+		_ = json.NewEncoder(w).Encode(vmAnswer{Revision: 1, VMs: vms})
+		return
+	}
+	documents := []wire.Document{{Name: "models/a", Revision: p.revision}}
+	_ = json.NewEncoder(w).Encode(answer{Revision: p.revision, Documents: documents})
+}
+
+func startWatcher(t *testing.T, reader bool) (*fakePlatform, *Store, *events.Recorder) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	p := &fakePlatform{revision: 5, calls: map[string]int{}}
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	recorder := events.NewRecorder("e1", 1, &bytes.Buffer{})
+	s := NewStore(recorder)
+	w := NewWatcher(WatcherConfig{URL: server.URL, Store: s, Reader: func() bool { return reader }, Recorder: recorder})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- w.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return p, s, recorder
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s did not happen within 5 s", what)
+}
+
+func countEvents(r *events.Recorder, name string) int {
+	n := 0
+	for _, e := range r.Recent(0) {
+		if e.Name == name {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a stale platform that reverts documents or floods the log,
+// and against outages that go unrecorded.
+func TestReaderSurvivesStaleAndDownPlatform(t *testing.T) {
+	is := is.New(t)
+	p, s, recorder := startWatcher(t, true)
+	waitFor(t, "the first listing", func() bool { return s.Ready() && len(s.VMs()) == 1 })
+	p.set(func() { p.revision = 3 })
+	before := p.count("/v1/watch")
+	waitFor(t, "the third stale answer", func() bool { return p.count("/v1/watch") > before+3 })
+	is.Equal(countEvents(recorder, "config.platform_stale"), 1)
+	is.Equal(s.Status()[0].InForce, uint64(5))
+	is.True(s.PlatformAge() < time.Second)
+	p.set(func() { p.down = true })
+	waitFor(t, "config.platform_down", func() bool { return countEvents(recorder, "config.platform_down") == 1 })
+	p.set(func() { p.down, p.revision = false, 6 })
+	waitFor(t, "revision 6", func() bool { return s.Status()[0].InForce == 6 })
+	is.Equal(countEvents(recorder, "config.platform_up"), 1)
+	is.Equal(p.count("/v1/documents"), 1)
+}
+
+// Guards against a fleet whose readers are all unreachable and never learns of
+// changes, and against processes that call although readers are at work.
+func TestOthersPollOnlyWithoutReaders(t *testing.T) {
+	is := is.New(t)
+	p, s, _ := startWatcher(t, false)
+	waitFor(t, "a poll without any news of the platform", func() bool { return s.Ready() && len(s.VMs()) == 1 })
+	calls := p.count("/v1/documents") + p.count("/v1/watch")
+	for range 10 {
+		s.HeardPlatform(0)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(p.count("/v1/documents")+p.count("/v1/watch"), calls)
+}
+
+// Guards against an answer without end that fills the memory.
+func TestAnswerIsBounded(t *testing.T) {
+	is := is.New(t)
+	var a answer
+	err := decodeBounded(strings.NewReader(`{"revision": 1`+strings.Repeat(" ", 200)+"}"), "/v1/documents", 100, &a)
+	is.True(err != nil && strings.Contains(err.Error(), "exceeds 100 bytes"))
+}
+
+// Guards against retries that grow beyond the bound which the platform's rate
+// is planned for.
+func TestBackoffIsBounded(t *testing.T) {
+	var b backoff
+	for range 20 {
+		if pause := b.next(pollBackoff); pause > pollBackoff || pause < firstBackoff/2 {
+			t.Fatalf("pause %s", pause)
+		}
+	}
+	if pause := b.next(pollBackoff); pause < pollBackoff/2 {
+		t.Fatalf("pause %s after many failures", pause)
+	}
+}
