Add the commands of the main binary

The binary had no commands. entry and agent load their settings and call the daemons, which are stubs here; the first SIGTERM or SIGINT ends their context and the second ends the process with status 1. check prints every fault of settings and documents, and inactive references of the documents together. status and timeline ask the administration listeners and name the processes that did not answer; they fail only if none answered. keys makes test keys and never replaces a file.

--- a/cmd/coltsfootbay/main.go
+++ b/cmd/coltsfootbay/main.go
@@ -1,4 +1,10 @@
-// Command coltsfootbay is the load balancer's only binary.
+// Command coltsfootbay is the load balancer's main binary.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/cli"
+)
+
+func main() { os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/cli/signals.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// signalContext returns a context that the first SIGTERM or SIGINT ends. The
+// second one ends the process at once with status 1.
+func signalContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	stopped := make(chan struct{})
+	go func() {
+		for range 2 {
+			select {
+			case <-signals:
+			case <-stopped:
+				return
+			}
+			if ctx.Err() != nil {
+				os.Exit(exitFault)
+			}
+			cancel()
+		}
+	}()
+	return ctx, func() {
+		signal.Stop(signals)
+		close(stopped)
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,124 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+)
+
+// processStatus is what one process answered.
+type processStatus struct {
+	Admin  string          `json:"admin"`
+	Status json.RawMessage `json:"status,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+func newStatus() *cobra.Command {
+	var flags adminFlags
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "status --admin URL... --key-file FILE",
+		Short: "Show the status of processes",
+		Long: `Show the status of processes, one row each, with a column for each plain value
+of their answers. --json prints the whole answers. The exit status is 1 if no
+process answered.`,
+		Example: `  coltsfootbay status --admin http://192.0.2.1:7002 --admin http://192.0.2.2:7002 --key-file admin.key
+  coltsfootbay status --admin http://192.0.2.1:7002 --key-file admin.key --json`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			clients, err := flags.clients()
+			if err != nil {
+				return err
+			}
+			all, errs := askStatus(cmd.Context(), clients)
+			if err := printStatus(cmd.OutOrStdout(), all, asJSON); err != nil {
+				return err
+			}
+			return printUnanswered(cmd.ErrOrStderr(), clients, errs)
+		},
+	}
+	flags.add(c)
+	c.Flags().BoolVar(&asJSON, "json", false, "print a JSON array of the whole answers")
+	return c
+}
+
+func askStatus(ctx context.Context, clients []*adminClient) ([]processStatus, []error) {
+	all := make([]processStatus, len(clients))
+	errs := askAll(clients, func(i int, c *adminClient) error {
+		all[i].Admin = c.base
+		err := c.get(ctx, "/admin/v1/status", &all[i].Status)
+		if err != nil {
+			all[i].Error = err.Error()
+		}
+		return err
+	})
+	return all, errs
+}
+
+func printStatus(w io.Writer, all []processStatus, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(all)
+	}
+	return printTable(w, all)
+}
+
+func printTable(w io.Writer, all []processStatus) error {
+	rows := make([]map[string]string, len(all))
+	var columns []string
+	for i, p := range all {
+		rows[i] = plainValues(p.Status)
+		for name := range rows[i] {
+			if !slices.Contains(columns, name) {
+				columns = append(columns, name)
+			}
+		}
+	}
+	slices.Sort(columns)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, strings.Join(append([]string{"admin"}, columns...), "\t"))
+	for i, p := range all {
+		_, _ = fmt.Fprintln(table, strings.Join(cells(p, columns, rows[i]), "\t"))
+	}
+	return table.Flush()
+}
+
+func cells(p processStatus, columns []string, row map[string]string) []string {
+	out := []string{p.Admin}
+	for i, name := range columns {
+		value, ok := row[name]
+		switch {
+		case ok:
+		case p.Error != "" && i == 0:
+			value = "no answer"
+		default:
+			value = "-"
+		}
+		out = append(out, value)
+	}
+	return out
+}
+
+// plainValues returns the strings, numbers and booleans of a JSON object.
+func plainValues(object json.RawMessage) map[string]string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(object, &fields) != nil {
+		return nil
+	}
+	plain := map[string]string{}
+	for name, value := range fields {
+		text := string(value)
+		if strings.HasPrefix(text, "{") || strings.HasPrefix(text, "[") {
+			continue
+		}
+		plain[name] = strings.Trim(text, `"`)
+	}
+	return plain
+}
