Fuzz settings, documents, tokens and frames

Everything that a process parses from outside was untested against arbitrary input.

Ruled out: more workers, because the machine is shared.

--- a/Makefile
+++ b/Makefile
@@ -25,4 +25,14 @@
 unit:
 	$(GO) test -count=1 $$($(GO) list ./... | grep -v '/integration$$')
 
-test: fmt-check vet lint build unit
+# FUZZ_TIME is per target. go test runs one fuzz target of one package at a time.
+FUZZ_TIME ?= 3s
+FUZZ_WORKERS ?= 4
+
+fuzz:
+	$(GO) test -run='^$$' -fuzz='^FuzzParse$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/settings
+	$(GO) test -run='^$$' -fuzz='^FuzzDocument$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/dynamic
+	$(GO) test -run='^$$' -fuzz='^FuzzVerify$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/ticket
+	$(GO) test -run='^$$' -fuzz='^FuzzRead$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/wire
+
+test: fmt-check vet lint build unit fuzz
--- /dev/null
+++ b/internal/dynamic/fuzz_test.go
@@ -0,0 +1,33 @@
+package dynamic
+
+import (
+	"testing"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// FuzzDocument guards against documents that end the process, valid documents
+// that do not decode later, and shares beyond the fleet.
+func FuzzDocument(f *testing.F) {
+	f.Fuzz(func(t *testing.T, name, body string) {
+		d := wire.Document{Name: name, Revision: 2, Body: body}
+		if Validate(d) != nil {
+			return
+		}
+		template := wire.Document{Name: "templates/t", Revision: 1, Body: "rank = \"top\"\nshare = 1"}
+		e := Compute([]wire.Document{template, d})
+		for _, i := range e.Inactive {
+			if i.Reference == "document" {
+				t.Errorf("valid document %s does not decode", name)
+			}
+		}
+		sum := 0.0
+		for _, a := range e.Accounts {
+			sum += a.EffectiveShare
+		}
+		const rounding = 1e-9
+		if !(sum >= 0 && sum <= 1+rounding) || len(e.Accounts) != len(e.ByID) {
+			t.Errorf("shares add up to %v for %d keys and %d accounts", sum, len(e.Accounts), len(e.ByID))
+		}
+	})
+}
