Name the allowed values of unknown keys, types and bare durations

Faults for unknown keys and wrong types named no allowed values, and the latter showed Go's type names. They now list the keys of the table, or what a value may be. A duration without quotes, such as first_token = 3, was taken as 3 ns where the range begins at 0; it is now a fault.

Ruled out: another underlying type for tomlfile.Duration, which other packages convert from time.Duration.

--- a/internal/cli/check_test.go
+++ b/internal/cli/check_test.go
@@ -19,8 +19,8 @@
 	"entry-ratio.toml":     {":7: retry_ratio: NaN|(allowed: 0 to 1)"},
 	"entry-duration.toml":  {":8: drain_timeout: 2h0m0s|(allowed: 1s to 1h0m0s)"},
 	"entry-limits.toml":    {":18: limits.connections: 0|(allowed: 1 to 1000000)", ":19: limits.streams: 2000000|(allowed: 1 to 1000000)"},
-	"entry-unknown.toml":   {":18: limits.conections: unknown key"},
-	"entry-type.toml":      {":18: limits.connections:|int"},
+	"entry-unknown.toml":   {":18: limits.conections: unknown key|(allowed: body_bytes, connections"},
+	"entry-type.toml":      {":18: limits.connections: a TOML string|(allowed: a whole number)"},
 	"entry-syntax.toml":    {":2: unexpected character"},
 	"agent-kind.toml":      {":8: backend_server.kind: \"engine\"|(allowed: model, service)"},
 	"agent-slots.toml":     {":11: backend_server.slots: 2000|(allowed: 1 to 1024)"},
@@ -39,7 +39,7 @@
 		":9: account[1].share: 2|(allowed: 0 to 1)",
 	},
 	"services/rule.toml":  {":2: rule[0].method: \"FETCH\"|(allowed: GET, HEAD", ":3: rule[0].path_prefix:|(allowed: a path that begins with /)"},
-	"models/unknown.toml": {":2: size: unknown key"},
+	"models/unknown.toml": {":2: size: unknown key|(allowed: adapters, versions)"},
 }
 
 func run(arguments ...string) (status int, stdout, stderr string) {
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -67,7 +67,7 @@
 type File struct {
 	Name   string
 	data   []byte
-	lines  map[string]int
+	keys   map[string]keyInfo
 	faults Faults
 }
 
@@ -80,23 +80,24 @@
 	if err == nil {
 		return f, nil
 	}
-	return nil, f.fromDecode(err)
+	return nil, f.fromDecode(err, target)
 }
 
-func (f *File) fromDecode(err error) error {
+func (f *File) fromDecode(err error, target any) error {
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) {
 		var faults Faults
 		for _, e := range missing.Errors {
 			line, _ := e.Position()
-			faults = append(faults, Fault{File: f.Name, Line: line, Key: strings.Join(e.Key(), "."), Problem: "unknown key"})
+			faults = append(faults, Fault{File: f.Name, Line: line, Key: strings.Join(e.Key(), "."), Problem: "unknown key", Allowed: knownKeys(target, e.Key())})
 		}
 		return faults.Err()
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
-		return Faults{{File: f.Name, Line: line, Key: strings.Join(decode.Key(), "."), Problem: strings.TrimPrefix(decode.Error(), "toml: ")}}
+		problem, allowed := describeType(strings.TrimPrefix(decode.Error(), "toml: "))
+		return Faults{{File: f.Name, Line: line, Key: strings.Join(decode.Key(), "."), Problem: problem, Allowed: allowed}}
 	}
 	return Faults{{File: f.Name, Problem: err.Error()}}
 }
@@ -109,12 +110,23 @@
 // Line returns the line of a key, or 0 if the file does not have it. Elements
 // of an array of tables are named table[0].key.
 func (f *File) Line(key string) int {
+	return f.key(key).line
+}
+
+// keyInfo is what a fault of a key needs.
+type keyInfo struct {
+	line int
+	// integer tells that the value is a number without a fraction.
+	integer bool
+}
+
+func (f *File) key(key string) keyInfo {
 	// Most files have no faults and need no lines, and the map of a document
 	// with thousands of accounts is larger than the document.
-	if f.lines == nil {
-		f.lines = keyLines(f.data)
+	if f.keys == nil {
+		f.keys = keysOf(f.data)
 	}
-	return f.lines[key]
+	return f.keys[key]
 }
 
 // Err returns the faults noted so far, or nil.
@@ -175,15 +187,20 @@
 
 // DurationInRange notes a fault if value is outside low to high, inclusive.
 func (f *File) DurationInRange(key string, value Duration, low, high time.Duration) {
+	if f.key(key).integer {
+		// The decoder takes a bare number as nanoseconds.
+		f.Add(key, fmt.Sprintf("%s to %s, in quotes", low, high), "a duration needs a unit")
+		return
+	}
 	if value.Std() < low || value.Std() > high {
 		f.Add(key, fmt.Sprintf("%s to %s", low, high), "%s is out of range", value)
 	}
 }
 
-// keyLines returns the line of every key. A file that does not parse yields
-// the keys before the fault.
-func keyLines(data []byte) map[string]int {
-	lines := map[string]int{}
+// keysOf returns the line and kind of every key. A file that does not parse
+// yields the keys before the fault.
+func keysOf(data []byte) map[string]keyInfo {
+	keys := map[string]keyInfo{}
 	arrays := map[string]int{}
 	prefix := ""
 	var p unstable.Parser
@@ -195,17 +212,17 @@
 		switch e.Kind {
 		case unstable.Table:
 			prefix = name + "."
-			lines[name] = line
+			keys[name] = keyInfo{line: line}
 		case unstable.ArrayTable:
 			element := fmt.Sprintf("%s[%d]", name, arrays[name])
 			arrays[name]++
 			prefix = element + "."
-			lines[element] = line
+			keys[element] = keyInfo{line: line}
 		case unstable.KeyValue:
-			lines[prefix+name] = line
+			keys[prefix+name] = keyInfo{line: line, integer: e.Value().Kind == unstable.Integer}
 		}
 	}
-	return lines
+	return keys
 }
 
 // position counts lines from key to key. Counting from the start of the file
