Keep echoed platform ages from hiding an outage

Peers tell each other the platform age without the time that the message took. Each exchange therefore moved the time of the last answer forward, and with slow links the age might not reach the 2 s at which other processes poll. An age now counts only if it is more than 100 ms newer than what is known.

Ruled out: adding an estimated travel time, which differs between links.

Ran: go test -race of internal/config; make fmt-check vet lint build unit: all pass.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -51,6 +51,10 @@
 // neverHeard is the platform age of a process that has heard of no answer.
 const neverHeard = 365 * 24 * time.Hour
 
+// echoTolerance is above the time that a heartbeat travels. Ages do not include
+// that time, so without it an age that peers tell each other would hardly grow.
+const echoTolerance = 100 * time.Millisecond
+
 // Store holds the latest and the last good revision of each document. It is
 // safe for concurrent use.
 type Store struct {
@@ -210,7 +214,7 @@
 	at := time.Now().Add(-max(age, 0))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if at.After(s.heard) {
+	if at.Sub(s.heard) > echoTolerance {
 		s.heard = at
 	}
 }
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -168,3 +169,18 @@
 		is.True(store.Ready())
 	}
 }
+
+// Guards against peers that keep each other's platform age low without an
+// answer of the platform.
+func TestEchoDoesNotRefreshPlatformAge(t *testing.T) {
+	is := is.New(t)
+	s := NewStore(nil)
+	is.Equal(s.PlatformAge(), neverHeard)
+	s.HeardPlatform(time.Second)
+	for range 200 {
+		s.HeardPlatform(s.PlatformAge() - 2*time.Millisecond)
+	}
+	is.True(s.PlatformAge() >= time.Second)
+	s.HeardPlatform(0)
+	is.True(s.PlatformAge() < time.Second)
+}
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -34,7 +34,8 @@
 	// URL is the platform's base URL.
 	URL   string
 	Store *Store
-	// Reader reports whether this process is one of its zone's readers.
+	// Reader reports whether this process is one of its zone's readers. It is
+	// called from two goroutines.
 	Reader   func() bool
 	Recorder *events.Recorder
 	// Push passes new documents on to peers; it may be nil.
