--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -66,48 +66,68 @@
 // File is a decoded file that knows where its keys are.
 type File struct {
 	Name   string
-	lines  map[string]int
+	data   []byte
+	keys   map[string]keyInfo
 	faults Faults
 }
 
 // Decode reads data into target and refuses unknown keys and wrong types. All
 // unknown keys are reported at once.
 func Decode(name string, data []byte, target any) (*File, error) {
-	f := &File{Name: name, lines: keyLines(data)}
+	f := &File{Name: name, data: data}
 	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	err := decoder.Decode(target)
 	if err == nil {
 		return f, nil
 	}
-	return nil, f.fromDecode(err)
+	return nil, f.fromDecode(err, target)
 }
 
-func (f *File) fromDecode(err error) error {
+func (f *File) fromDecode(err error, target any) error {
 	var missing *toml.StrictMissingError
 	if errors.As(err, &missing) {
 		var faults Faults
 		for _, e := range missing.Errors {
 			line, _ := e.Position()
-			faults = append(faults, Fault{File: f.Name, Line: line, Key: strings.Join(e.Key(), "."), Problem: "unknown key"})
+			faults = append(faults, Fault{File: f.Name, Line: line, Key: strings.Join(e.Key(), "."), Problem: "unknown key", Allowed: knownKeys(target, e.Key())})
 		}
 		return faults.Err()
 	}
 	var decode *toml.DecodeError
 	if errors.As(err, &decode) {
 		line, _ := decode.Position()
-		return Faults{{File: f.Name, Line: line, Key: strings.Join(decode.Key(), "."), Problem: strings.TrimPrefix(decode.Error(), "toml: ")}}
+		problem, allowed := describeType(strings.TrimPrefix(decode.Error(), "toml: "))
+		return Faults{{File: f.Name, Line: line, Key: strings.Join(decode.Key(), "."), Problem: problem, Allowed: allowed}}
 	}
 	return Faults{{File: f.Name, Problem: err.Error()}}
 }
 
 // Add notes a fault of a key.
 func (f *File) Add(key, allowed, format string, args ...any) {
-	f.faults = append(f.faults, Fault{File: f.Name, Line: f.lines[key], Key: key, Problem: fmt.Sprintf(format, args...), Allowed: allowed})
+	f.faults = append(f.faults, Fault{File: f.Name, Line: f.Line(key), Key: key, Problem: fmt.Sprintf(format, args...), Allowed: allowed})
 }
 
 // Line returns the line of a key, or 0 if the file does not have it. Elements
 // of an array of tables are named table[0].key.
-func (f *File) Line(key string) int { return f.lines[key] }
+func (f *File) Line(key string) int {
+	return f.key(key).line
+}
+
+// keyInfo is what a fault of a key needs.
+type keyInfo struct {
+	line int
+	// integer tells that the value is a number without a fraction.
+	integer bool
+}
+
+func (f *File) key(key string) keyInfo {
+	// Most files have no faults and need no lines, and the map of a document
+	// with thousands of accounts is larger than the document.
+	if f.keys == nil {
+		f.keys = keysOf(f.data)
+	}
+	return f.keys[key]
+}
 
 // Err returns the faults noted so far, or nil.
 func (f *File) Err() error { return f.faults.Err() }
@@ -136,7 +156,9 @@
 
 // InRange notes a fault if value is outside low to high, inclusive.
 func InRange[T Number](f *File, key string, value, low, high T) {
-	if value < low || value > high {
+	// Every comparison with NaN, which TOML can express, is false.
+	inside := value >= low && value <= high
+	if !inside {
 		f.Add(key, fmt.Sprintf("%v to %v", low, high), "%v is out of range", value)
 	}
 }
@@ -165,45 +187,68 @@
 
 // DurationInRange notes a fault if value is outside low to high, inclusive.
 func (f *File) DurationInRange(key string, value Duration, low, high time.Duration) {
+	if f.key(key).integer {
+		// The decoder takes a bare number as nanoseconds.
+		f.Add(key, fmt.Sprintf("%s to %s, in quotes", low, high), "a duration needs a unit")
+		return
+	}
 	if value.Std() < low || value.Std() > high {
 		f.Add(key, fmt.Sprintf("%s to %s", low, high), "%s is out of range", value)
 	}
 }
 
-// keyLines returns the line of every key. A file that does not parse yields
-// the keys before the fault.
-func keyLines(data []byte) map[string]int {
-	lines := map[string]int{}
+// keysOf returns the line and kind of every key. A file that does not parse
+// yields the keys before the fault.
+func keysOf(data []byte) map[string]keyInfo {
+	keys := map[string]keyInfo{}
 	arrays := map[string]int{}
 	prefix := ""
 	var p unstable.Parser
 	p.Reset(data)
+	at := position{data: data, line: 1}
 	for p.NextExpression() {
 		e := p.Expression()
-		name, line := keyOf(&p, e)
+		name, line := at.keyOf(e)
 		switch e.Kind {
 		case unstable.Table:
 			prefix = name + "."
-			lines[name] = line
+			keys[name] = keyInfo{line: line}
 		case unstable.ArrayTable:
 			element := fmt.Sprintf("%s[%d]", name, arrays[name])
 			arrays[name]++
 			prefix = element + "."
-			lines[element] = line
+			keys[element] = keyInfo{line: line}
 		case unstable.KeyValue:
-			lines[prefix+name] = line
+			keys[prefix+name] = keyInfo{line: line, integer: e.Value().Kind == unstable.Integer}
 		}
 	}
-	return lines
+	return keys
+}
+
+// position counts lines from key to key. Counting from the start of the file
+// for each key took seconds for a document of 1 MiB.
+type position struct {
+	data   []byte
+	offset int
+	line   int
+}
+
+func (p *position) lineAt(offset int) int {
+	if offset < p.offset {
+		p.offset, p.line = 0, 1
+	}
+	p.line += bytes.Count(p.data[p.offset:offset], []byte{'\n'})
+	p.offset = offset
+	return p.line
 }
 
-func keyOf(p *unstable.Parser, e *unstable.Node) (name string, line int) {
+func (p *position) keyOf(e *unstable.Node) (name string, line int) {
 	var parts []string
 	for it := e.Key(); it.Next(); {
 		node := it.Node()
 		parts = append(parts, string(node.Data))
 		if line == 0 {
-			line = p.Shape(node.Raw).Start.Line
+			line = p.lineAt(int(node.Raw.Offset))
 		}
 	}
 	return strings.Join(parts, "."), line
