quarantine: merge crash suspicions as a lattice of lifts, crashes and time

A request that ends its backend server must stop before it ends a third one, and processes learn of crashes in any order. Merge takes the higher lift count, unites crashes of equal counts and keeps the longer remaining time, so order and repetition do not matter.

--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,109 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+func testRegistry(now *time.Time) *Registry {
+	r := NewRegistry()
+	r.now = func() time.Time { return *now }
+	return r
+}
+
+func drawSuspicions(t *rapid.T, label string) []wire.Suspicion {
+	crash := rapid.Custom(func(t *rapid.T) wire.Crash {
+		return wire.Crash{Agent: fleet.ProcessID(rapid.StringMatching("[ab]").Draw(t, "agent")), ServerStart: rapid.StringMatching("[0-9]").Draw(t, "start")}
+	})
+	one := rapid.Custom(func(t *rapid.T) wire.Suspicion {
+		return wire.Suspicion{
+			Fingerprint: rapid.Uint64Range(1, 3).Draw(t, "fingerprint"),
+			Crashes:     rapid.SliceOfN(crash, 0, 10).Draw(t, "crashes"),
+			Remaining:   rapid.Int64Range(1, 700000).Draw(t, "remaining"),
+			Lifts:       rapid.Uint32Range(0, 2).Draw(t, "lifts"),
+		}
+	})
+	return rapid.SliceOfN(one, 0, 5).Draw(t, label)
+}
+
+// Guards against processes that disagree on a quarantine because suspicions
+// reached them in another order or more than once.
+func TestMergeIsCommutativeAssociativeIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		a, b, c := drawSuspicions(t, "a"), drawSuspicions(t, "b"), drawSuspicions(t, "c")
+		left, right, nested := testRegistry(&now), testRegistry(&now), testRegistry(&now)
+		for _, s := range [][]wire.Suspicion{a, b, c, a} {
+			left.Merge(s)
+		}
+		for _, s := range [][]wire.Suspicion{c, b, a} {
+			right.Merge(s)
+		}
+		inner := testRegistry(&now)
+		inner.Merge(b)
+		inner.Merge(c)
+		nested.Merge(inner.List())
+		nested.Merge(a)
+		is := is.New(t)
+		is.Equal(left.List(), right.List())
+		is.Equal(left.List(), nested.List())
+		is.Equal(len(left.Merge(right.List())), 0) // repetition is no news
+	})
+}
+
+// Guards against a quarantine after one crash, none after two, and against
+// suspicions that never end or that a success or lift does not clear.
+func TestStates(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := testRegistry(&now)
+	one, two := wire.Crash{Agent: "a", ServerStart: "1"}, wire.Crash{Agent: "b", ServerStart: "1"}
+	old := r.Blame(7, "x", one)
+	r.Blame(7, "x", one)
+	is.Equal(r.State(7), Suspect)
+	cleared, ok := r.Succeeded(7)
+	is.True(ok)
+	is.Equal(cleared.Lifts, uint32(1))
+	is.Equal(len(r.Merge([]wire.Suspicion{old})), 0) // a late copy is void
+	is.Equal(r.State(7), Clear)
+	r.Blame(7, "x", one)
+	r.Blame(7, "x", two)
+	is.Equal(r.State(7), Quarantined)
+	_, ok = r.Succeeded(7)
+	is.True(!ok)
+	_, ok = r.Lift(7)
+	is.True(ok)
+	is.Equal(r.State(7), Clear)
+	r.Blame(7, "x", one)
+	now = now.Add(lifetime)
+	is.Equal(r.State(7), Clear)
+	is.Equal(len(r.List()), 0)
+}
+
+// Guards against unbounded memory, and against a flood of single crashes that
+// displaces quarantines.
+func TestBoundKeepsQuarantines(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := testRegistry(&now)
+	r.Blame(0, "x", wire.Crash{Agent: "a"})
+	r.Blame(0, "x", wire.Crash{Agent: "b"})
+	for f := uint64(1); f < maxEntries+10; f++ {
+		now = now.Add(time.Millisecond)
+		r.Blame(f, "x", wire.Crash{Agent: "a"})
+	}
+	is.Equal(len(r.List()), maxEntries)
+	is.Equal(r.State(0), Quarantined)
+	is.Equal(r.State(1), Clear) // the oldest single crash was dropped
+}
+
+// Guards against fingerprints that collide across the account boundary.
+func TestFingerprintSeparatesAccountFromBody(t *testing.T) {
+	is.New(t).True(Fingerprint("a", []byte("bc")) != Fingerprint("ab", []byte("c")))
+}
