member: view of the fleet from links, gossip and the VM list

Each process needs one answer to who is alive, where to link and who reads the platform, from sources of different trust. Evidence over a link goes before gossip, and gossip before the VM list, which only dates first sight. Agents without a report form a group whose choice changes every 30 s, so that unreachable ones do not hide the rest.

Ran: go test -race ./internal/member, passed, with an injected clock.

--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -4,6 +4,7 @@
 package member
 
 import (
+	"sync"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/config"
@@ -16,6 +17,8 @@
 	Hello   wire.Hello
 	Alive   bool
 	Leaving bool
+	// Suspect tells that the entry VM is alive but silent for over 3 s.
+	Suspect bool
 	// Direct tells that this process has a link to it.
 	Direct bool
 }
@@ -37,13 +40,25 @@
 
 // Target is an address that a process should have a link to.
 type Target struct {
+	// Process is empty for a seed whose process is not known yet.
 	Process fleet.ProcessID
 	Role    fleet.Role
 	Address string
 }
 
 // View is a process's view of the fleet. It is safe for concurrent use.
-type View struct{}
+type View struct {
+	config  Config
+	now     func() time.Time
+	started time.Time
+
+	mu      sync.Mutex
+	leaving bool
+	records map[fleet.ProcessID]*record
+	vms     map[fleet.ProcessID]config.VM
+	changed chan struct{}
+	cursor  int
+}
 
 // Config holds the parameters of a View.
 type Config struct {
@@ -55,48 +70,100 @@
 }
 
 // NewView returns a view that knows only its own process.
-func NewView(c Config) *View { return &View{} }
+func NewView(c Config) *View { return newView(c, time.Now) }
+
+func newView(c Config, now func() time.Time) *View {
+	return &View{
+		config:  c,
+		now:     now,
+		started: now(),
+		records: map[fleet.ProcessID]*record{},
+		vms:     map[fleet.ProcessID]config.VM{},
+		changed: make(chan struct{}),
+	}
+}
 
 // Self returns the own process.
-func (v *View) Self() wire.Hello { return wire.Hello{} }
+func (v *View) Self() wire.Hello { return v.config.Self }
 
 // SetLeaving marks the own process as leaving.
-func (v *View) SetLeaving() {}
-
-// Heard notes a heartbeat received over a link.
-func (v *View) Heard(h wire.Hello, b wire.Heartbeat) {}
-
-// Reported notes an agent's report received over a link.
-func (v *View) Reported(h wire.Hello, r wire.Report) {}
-
-// Lost notes that a link to a start of a process is down.
-func (v *View) Lost(process fleet.ProcessID, start fleet.StartID) {}
-
-// Gossip merges what a peer says about other processes.
-func (v *View) Gossip(members []wire.Member) {}
+func (v *View) SetLeaving() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = true
+	v.signal()
+}
 
-// Members returns what to tell peers.
-func (v *View) Members() []wire.Member { return nil }
+// Leaving reports whether the own process is leaving.
+func (v *View) Leaving() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leaving
+}
 
-// SetVMs merges the platform's VM list.
-func (v *View) SetVMs(vms []config.VM) {}
+// Changed returns a channel that is closed when the set of processes, their
+// starts, links or leaving states change next.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed
+}
 
-// Paused notes that the own process was stopped for a while: every report and
-// heartbeat counts as expired until the next one arrives.
-func (v *View) Paused() {}
+func (v *View) signal() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
 
 // Entries returns the known entry VMs, with the own one.
-func (v *View) Entries() []EntryVM { return nil }
+func (v *View) Entries() []EntryVM {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := []EntryVM{}
+	if v.config.Self.Role == fleet.RoleEntry {
+		list = append(list, EntryVM{Hello: v.config.Self, Alive: true, Leaving: v.leaving, Direct: true})
+	}
+	for _, r := range v.sorted(fleet.RoleEntry) {
+		list = append(list, EntryVM{
+			Hello:   r.hello,
+			Alive:   v.alive(r),
+			Leaving: v.isLeaving(r),
+			Suspect: v.alive(r) && r.direct && v.silence(r) > suspectAfter,
+			Direct:  r.direct,
+		})
+	}
+	return list
+}
 
 // Agents returns the agents with a report of at most 3 s of age.
-func (v *View) Agents() []Agent { return nil }
+func (v *View) Agents() []Agent {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := []Agent{}
+	for _, r := range v.sorted(fleet.RoleAgent) {
+		if a := v.agent(r); r.reported && a.ReportAge <= reportLifetime {
+			list = append(list, a)
+		}
+	}
+	return list
+}
 
 // Agent returns one agent, also when its report is old.
-func (v *View) Agent(process fleet.ProcessID) (Agent, bool) { return Agent{}, false }
-
-// Targets returns the links that the own process should have.
-func (v *View) Targets() []Target { return nil }
+func (v *View) Agent(process fleet.ProcessID) (Agent, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.records[process]
+	if !ok || r.hello.Role != fleet.RoleAgent {
+		return Agent{}, false
+	}
+	return v.agent(r), true
+}
 
-// Reader reports whether the own process is one of its zone's two readers of
-// the platform.
-func (v *View) Reader() bool { return false }
+func (v *View) agent(r *record) Agent {
+	return Agent{
+		Hello:     r.hello,
+		Report:    r.report,
+		ReportAge: v.since(r.reportAt),
+		Leaving:   v.isLeaving(r),
+		Linked:    r.direct,
+	}
+}
--- /dev/null
+++ b/internal/member/view_test.go
@@ -0,0 +1,204 @@
+package member
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+type clock struct{ at time.Time }
+
+func (c *clock) now() time.Time          { return c.at }
+func (c *clock) advance(d time.Duration) { c.at = c.at.Add(d) }
+
+func hello(role fleet.Role, zone, n int) wire.Hello {
+	name := fmt.Sprintf("%s-%03d", role, n)
+	return wire.Hello{
+		Process: fleet.ProcessID(name), Start: fleet.StartID(1<<60 + n), Role: role,
+		Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", zone)), Address: fmt.Sprintf("10.0.%d.%d:7443", n/250, n%250),
+		AdminAddress: fmt.Sprintf("10.0.%d.%d:7444", n/250, n%250), CallerAddress: fmt.Sprintf("10.0.%d.%d:80", n/250, n%250),
+	}
+}
+
+func testView(c *clock, n int) *View {
+	return newView(Config{Self: hello(fleet.RoleEntry, n%8, n), AgentSubset: 4}, c.now)
+}
+
+func newClock() *clock { return &clock{at: time.Unix(5000, 0)} }
+
+// Guards against a dead peer that stays in use, and a paused process that acts
+// on evidence from before the pause.
+func TestSilenceAndPause(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	v := testView(c, 0)
+	peer := hello(fleet.RoleEntry, 0, 1)
+	v.Heard(peer, wire.Heartbeat{Count: 1})
+	c.advance(4 * time.Second)
+	is.True(v.Entries()[1].Alive)
+	is.True(v.Entries()[1].Suspect)
+	c.advance(3 * time.Second)
+	is.True(!v.Entries()[1].Alive)
+	v.Heard(peer, wire.Heartbeat{Count: 2})
+	agent := hello(fleet.RoleAgent, 0, 2)
+	v.Reported(agent, wire.Report{Sequence: 1, Model: "m"})
+	is.Equal(len(v.Agents()), 1)
+	v.Paused()
+	is.True(!v.Entries()[1].Alive)
+	is.Equal(len(v.Agents()), 0)
+	v.Reported(agent, wire.Report{Sequence: 2, Model: "m"})
+	is.Equal(len(v.Agents()), 1)
+	c.advance(3*time.Second + 1)
+	is.Equal(len(v.Agents()), 0)
+	a, ok := v.Agent(agent.Process)
+	is.True(ok)
+	is.True(a.ReportAge > 3*time.Second)
+}
+
+// Guards against gossip or a lagging VM list that overrides a link, an old
+// start that replaces a newer one, and records that are never dropped.
+func TestPrecedence(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	v := testView(c, 0)
+	peer := hello(fleet.RoleEntry, 0, 1)
+	newer := peer
+	newer.Start++
+	v.Heard(newer, wire.Heartbeat{Count: 5})
+	v.Gossip([]wire.Member{{Hello: peer, Count: 900, Leaving: true}})
+	v.Lost(peer.Process, peer.Start)
+	e := v.Entries()[1]
+	is.Equal(e.Hello.Start, newer.Start)
+	is.True(e.Direct && !e.Leaving)
+	v.SetVMs([]config.VM{{Name: peer.Process, Role: fleet.RoleEntry, State: config.VMLeaving}})
+	is.True(v.Entries()[1].Leaving)
+	v.Lost(newer.Process, newer.Start)
+	v.SetVMs(nil)
+	c.advance(forgetAfter + time.Second)
+	is.Equal(len(v.Entries()), 1)
+	v.Gossip([]wire.Member{{Hello: peer, Count: 1, Age: (forgetAfter + time.Second).Milliseconds()}})
+	is.Equal(len(v.Entries()), 1) // old gossip does not bring it back
+}
+
+func largeFleet(c *clock, n int) []*View {
+	var members []wire.Member
+	for i := range n {
+		members = append(members, wire.Member{Hello: hello(fleet.RoleEntry, i%8, i), Count: 1})
+	}
+	views := make([]*View, n)
+	for i := range views {
+		views[i] = testView(c, i)
+		views[i].Gossip(members)
+	}
+	return views
+}
+
+// Guards against links that leave part of the fleet without gossip, and against
+// a number of links that grows with the fleet.
+func TestTargetsConnectTheFleet(t *testing.T) {
+	for _, n := range []int{2, 9, 12, 13, 40, 380} {
+		is := is.New(t)
+		views := largeFleet(newClock(), n)
+		reached := map[fleet.ProcessID]bool{}
+		neighbours := map[fleet.ProcessID][]fleet.ProcessID{}
+		for _, v := range views {
+			targets := v.Targets()
+			is.True(len(targets) <= max(fullMeshEntries-1, ringSuccessors+7))
+			for _, to := range targets {
+				neighbours[v.Self().Process] = append(neighbours[v.Self().Process], to.Process)
+				neighbours[to.Process] = append(neighbours[to.Process], v.Self().Process)
+			}
+		}
+		pending := []fleet.ProcessID{views[0].Self().Process}
+		for len(pending) > 0 {
+			p := pending[0]
+			pending = pending[1:]
+			if !reached[p] {
+				reached[p] = true
+				pending = append(pending, neighbours[p]...)
+			}
+		}
+		is.Equal(len(reached), n)
+	}
+}
+
+// Guards against gossip beyond its part of the control budget, and members that
+// a turn leaves out.
+func TestGossipFitsBudgetAndCoversAll(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	v := largeFleet(c, 380)[0]
+	told := map[fleet.ProcessID]bool{}
+	rounds := 380/(gossipMembers-newsShare) + 1
+	for range rounds {
+		var frame bytes.Buffer
+		members := v.Members()
+		is.NoErr(wire.Write(&frame, 1, &wire.Members{Members: members}))
+		is.True(len(members) <= gossipMembers)
+		is.True(frame.Len() <= 3000) // half of 6 KB/s; heartbeats need the rest
+		for _, m := range members {
+			told[m.Hello.Process] = true
+		}
+	}
+	is.Equal(len(told), 379)
+}
+
+// Guards against a zone with no reader or with many.
+func TestTwoReadersPerZone(t *testing.T) {
+	is := is.New(t)
+	readers := map[fleet.AvailabilityZone]int{}
+	for _, v := range largeFleet(newClock(), 40) {
+		if v.Reader() {
+			readers[v.Self().Zone]++
+		}
+	}
+	is.Equal(len(readers), 8)
+	for _, n := range readers {
+		is.Equal(n, readersPerZone)
+	}
+}
+
+// Guards against a subset that leaves out a model, ignores the own zone, keeps
+// a lost agent, or is blocked by agents that never report.
+func TestAgentSubset(t *testing.T) {
+	is := is.New(t)
+	c := newClock()
+	v := testView(c, 0)
+	for i := range 40 {
+		model := []string{"m", "n"}[i%2]
+		v.Reported(hello(fleet.RoleAgent, i/2%4, 100+i), wire.Report{Sequence: 1, Model: model})
+	}
+	targets := v.Targets()
+	is.Equal(len(targets), 8)
+	for _, to := range targets {
+		a, _ := v.Agent(to.Process)
+		is.Equal(a.Hello.Zone, v.Self().Zone)
+	}
+	lost, _ := v.Agent(targets[0].Process)
+	v.Lost(lost.Hello.Process, lost.Hello.Start)
+	for _, to := range v.Targets() {
+		is.True(to.Process != lost.Hello.Process)
+	}
+	silent := testView(c, 0)
+	var vms []config.VM
+	for i := range 12 {
+		h := hello(fleet.RoleAgent, 0, i)
+		vms = append(vms, config.VM{Name: h.Process, Role: h.Role, Zone: h.Zone, Address: h.Address})
+	}
+	silent.SetVMs(vms)
+	tried := map[fleet.ProcessID]bool{}
+	for range 30 {
+		for _, to := range silent.Targets() {
+			tried[to.Process] = true
+		}
+		c.advance(demotion)
+	}
+	is.Equal(len(tried), 12)
+}
