link: control streams between entry VMs and agents

Processes need heartbeats, reports, documents and suspicions from each other without a full mesh. The manager dials the view's targets with jittered backoff, exchanges Hello and the full lists of suspicions, and only then offers a link for requests. Documents that are new are forwarded at once; the dialing side starts a comparison of digests at the first heartbeat or after two with another hash, because a single difference is usually a document under way. Gossip goes to one linked entry VM a second, so its cost does not depend on the number of links. transport.Conn counts open streams, so that unwanted links close without cutting requests, and reports its traffic.

--- /dev/null
+++ b/internal/link/dial.go
@@ -0,0 +1,210 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/member"
+	"github.com/coltsfootbay/coltsfootbay/internal/transport"
+)
+
+const (
+	targetInterval = 500 * time.Millisecond
+	// reconcileGap bounds how often changes of the view are looked at.
+	reconcileGap   = 50 * time.Millisecond
+	gossipInterval = time.Second
+	minBackoff     = 100 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+	dialTimeout    = 2 * time.Second
+	// yieldToPeer delays the dial of the process with the higher name, so that
+	// two processes that want each other usually make one connection.
+	yieldToPeer = time.Second
+)
+
+func (m *Manager) accept(ctx context.Context, group *errgroup.Group) error {
+	for {
+		conn, err := m.Endpoint.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		group.Go(func() error {
+			m.serve(ctx, group, conn, "")
+			return nil
+		})
+	}
+}
+
+// dialTargets starts a goroutine for each target without a link and closes
+// links that are no longer wanted.
+func (m *Manager) dialTargets(ctx context.Context, group *errgroup.Group) error {
+	for {
+		changed := m.View.Changed()
+		targets := m.View.Targets()
+		for _, t := range targets {
+			m.startDialing(ctx, group, t)
+		}
+		m.closeUnwanted(targets)
+		if !sleep(ctx, reconcileGap) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-time.After(targetInterval):
+		}
+	}
+}
+
+func (m *Manager) startDialing(ctx context.Context, group *errgroup.Group, t member.Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, busy := m.dialing[t]; busy || m.linked(t) {
+		return
+	}
+	m.dialing[t] = struct{}{}
+	group.Go(func() error {
+		m.dial(ctx, group, t)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.dialing, t)
+		return nil
+	})
+}
+
+// dial connects to a target until another link to it exists or it is no longer
+// a target.
+func (m *Manager) dial(ctx context.Context, group *errgroup.Group, t member.Target) {
+	backoff := minBackoff
+	if !sleep(ctx, m.firstDelay(t)) {
+		return
+	}
+	for m.wanted(t) {
+		if conn, err := m.connect(ctx, t.Address); err == nil {
+			started := time.Now()
+			m.serve(ctx, group, conn, t.Address)
+			if time.Since(started) > maxBackoff {
+				backoff = minBackoff
+			}
+		}
+		if !sleep(ctx, backoff/2+rand.N(backoff)) {
+			return
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (m *Manager) connect(ctx context.Context, address string) (*transport.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return m.Endpoint.Dial(ctx, address)
+}
+
+// firstDelay spreads the dials after a start or a healed partition.
+func (m *Manager) firstDelay(t member.Target) time.Duration {
+	delay := rand.N(minBackoff)
+	if t.Role == fleet.RoleEntry && t.Process != "" && m.View.Self().Process > t.Process {
+		delay += yieldToPeer
+	}
+	return delay
+}
+
+func (m *Manager) wanted(t member.Target) bool {
+	m.mu.Lock()
+	linked := m.linked(t)
+	m.mu.Unlock()
+	if linked {
+		return false
+	}
+	for _, other := range m.View.Targets() {
+		if other == t {
+			return true
+		}
+	}
+	return false
+}
+
+// linked reports whether a link to the target is up. The caller holds m.mu.
+func (m *Manager) linked(t member.Target) bool {
+	for p := range m.links {
+		if !p.retired.Load() && p.serves(t) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *peer) serves(t member.Target) bool {
+	if t.Process != "" {
+		return p.hello.Process == t.Process
+	}
+	return p.hello.Address == t.Address || p.address == t.Address
+}
+
+// closeUnwanted closes dialed links that are no target, and duplicates, once
+// only their control stream is open.
+func (m *Manager) closeUnwanted(targets []member.Target) {
+	for _, p := range m.peers(nil) {
+		if !p.unwanted(targets) {
+			p.unwantedSince = time.Time{}
+			continue
+		}
+		if p.unwantedSince.IsZero() {
+			p.unwantedSince = time.Now()
+		}
+		if time.Since(p.unwantedSince) > unwantedGrace && p.conn.OpenStreams() <= 1 {
+			p.conn.Close()
+		}
+	}
+}
+
+func (p *peer) unwanted(targets []member.Target) bool {
+	if p.retired.Load() {
+		return true
+	}
+	if !p.dialed {
+		return false
+	}
+	for _, t := range targets {
+		if p.serves(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// gossip tells one linked entry VM a second about others, which keeps the cost
+// independent of the number of links.
+func (m *Manager) gossip(ctx context.Context) error {
+	for sleep(ctx, gossipInterval/2+rand.N(gossipInterval)) {
+		var entries []*peer
+		for _, p := range m.peers(nil) {
+			if p.hello.Role == fleet.RoleEntry {
+				entries = append(entries, p)
+			}
+		}
+		if len(entries) > 0 && m.View.Self().Role == fleet.RoleEntry {
+			entries[rand.N(len(entries))].sendMembers()
+		}
+	}
+	return nil
+}
+
+// sleep waits for d and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -4,6 +4,11 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
@@ -16,6 +21,7 @@
 
 // Config holds what a Manager works on.
 type Config struct {
+	// Endpoint must listen.
 	Endpoint   *transport.Endpoint
 	View       *member.View
 	Store      *config.Store
@@ -24,35 +30,132 @@
 	// Report returns the agent's present state; it is nil for entry VMs.
 	Report func() wire.Report
 	// HandleRequest serves a request stream; it is nil for entry VMs. It runs
-	// in its own goroutine and closes the stream.
+	// in its own goroutine and closes the stream. Its context ends with Run and
+	// not with the connection. Run waits for it.
 	HandleRequest func(context.Context, *transport.Stream)
 }
 
+// store is the part of config.Store that links use.
+type store interface {
+	Merge(documents []wire.Document, storeRevision uint64) []wire.Document
+	Hash() uint64
+	Revision() uint64
+	Digest() wire.ConfigDigest
+	Missing(wire.ConfigDigest) []wire.Document
+	PlatformAge() time.Duration
+	HeardPlatform(time.Duration)
+}
+
 // Manager keeps the links of a process. It is safe for concurrent use.
-type Manager struct{}
+type Manager struct {
+	Config
+	store    store
+	count    atomic.Uint64
+	sequence atomic.Uint64
+
+	mu sync.Mutex
+	// links holds every link whose Hello messages were exchanged.
+	links map[*peer]struct{}
+	// dialing holds the targets that have a dialing goroutine.
+	dialing map[member.Target]struct{}
+	// changed is closed when a link becomes ready or ends.
+	changed chan struct{}
+}
 
 // NewManager returns a manager; Run starts it.
-func NewManager(c Config) *Manager { return &Manager{} }
+func NewManager(c Config) *Manager {
+	return &Manager{
+		Config:  c,
+		store:   c.Store,
+		links:   map[*peer]struct{}{},
+		dialing: map[member.Target]struct{}{},
+		changed: make(chan struct{}),
+	}
+}
 
 // Run accepts connections, and dials the targets of the view, until ctx is
-// done.
-func (m *Manager) Run(ctx context.Context) error { return nil }
+// done. It returns nil then, and the endpoint's error if accepting fails.
+func (m *Manager) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.accept(ctx, group) })
+	group.Go(func() error { return m.dialTargets(ctx, group) })
+	group.Go(func() error { return m.gossip(ctx) })
+	return group.Wait()
+}
 
 // Agent returns the connection to an agent and the agent's start, or false if
 // there is no link now.
 func (m *Manager) Agent(process fleet.ProcessID) (*transport.Conn, fleet.StartID, bool) {
-	return nil, 0, false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best *peer
+	for p := range m.links {
+		if p.hello.Process == process && p.ready() && (best == nil || p.hello.Start > best.hello.Start) {
+			best = p
+		}
+	}
+	if best == nil {
+		return nil, 0, false
+	}
+	return best.conn, best.hello.Start, true
 }
 
-// WaitAgent waits until there is a link to the agent or ctx is done.
+// WaitAgent waits until there is a link to the agent or ctx is done, and then
+// returns the context's error.
 func (m *Manager) WaitAgent(ctx context.Context, process fleet.ProcessID) (*transport.Conn, fleet.StartID, error) {
-	return nil, 0, context.Canceled
+	for {
+		changed := m.change()
+		if conn, start, ok := m.Agent(process); ok {
+			return conn, start, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
 }
 
-// PublishSuspicions sends suspicions over every link and waits for the
-// acknowledgements, at most 300 ms.
-func (m *Manager) PublishSuspicions(ctx context.Context, suspicions []wire.Suspicion) {}
-
 // Push sends the own heartbeat, and report if any, over every link now. Use it
-// after a change that others should know at once.
-func (m *Manager) Push() {}
+// after a change that others should know at once. Pushes within 50 ms are sent
+// as one.
+func (m *Manager) Push() {
+	for _, p := range m.peers(nil) {
+		p.push()
+	}
+}
+
+func (m *Manager) change() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+// signal wakes WaitAgent. The caller holds m.mu.
+func (m *Manager) signal() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// peers returns the links without one of them.
+func (m *Manager) peers(without *peer) []*peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]*peer, 0, len(m.links))
+	for p := range m.links {
+		if p != without {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (m *Manager) heartbeat() *wire.Heartbeat {
+	return &wire.Heartbeat{
+		Count:          m.count.Add(1),
+		Leaving:        m.View.Leaving(),
+		ConfigHash:     m.store.Hash(),
+		ConfigRevision: m.store.Revision(),
+		PlatformAge:    m.store.PlatformAge().Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/link/receive.go
@@ -0,0 +1,84 @@
+package link
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// maxPlatformAge is the age, in milliseconds, from which on a heartbeat says
+// nothing about the platform; it keeps the duration from overflowing.
+const maxPlatformAge = int64(24 * time.Hour / time.Millisecond)
+
+func (p *peer) read() error {
+	for {
+		p.stream.SetReadDeadline(time.Now().Add(silenceLimit))
+		message, err := p.stream.Receive()
+		if err != nil {
+			return err
+		}
+		if err := p.receive(message); err != nil {
+			return err
+		}
+	}
+}
+
+func (p *peer) receive(message wire.Message) error {
+	switch message := message.(type) {
+	case *wire.Heartbeat:
+		p.receiveHeartbeat(message)
+		return nil
+	case *wire.ConfigDigest:
+		p.receiveDigest(message)
+		return nil
+	case *wire.ConfigDocs:
+		p.receiveDocuments(message)
+		return nil
+	case *wire.Suspicions:
+		p.receiveSuspicions(message)
+		return nil
+	case *wire.SuspicionAck:
+		return p.receiveAck(message)
+	}
+	return p.receiveByRole(message)
+}
+
+func (p *peer) receiveByRole(message wire.Message) error {
+	switch message := message.(type) {
+	case *wire.Report:
+		if p.hello.Role == fleet.RoleAgent {
+			p.manager.View.Reported(p.hello, *message)
+			return nil
+		}
+	case *wire.Members:
+		if p.hello.Role == fleet.RoleEntry {
+			p.manager.View.Gossip(message.Members)
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: %T from %s", errProtocol, message, p.hello.Role)
+}
+
+func (p *peer) receiveHeartbeat(heartbeat *wire.Heartbeat) {
+	p.manager.View.Heard(p.hello, *heartbeat)
+	if age := heartbeat.PlatformAge; age >= 0 && age < maxPlatformAge {
+		p.manager.store.HeardPlatform(time.Duration(age) * time.Millisecond)
+	}
+	p.compareConfiguration(heartbeat.ConfigHash)
+	p.mu.Lock()
+	first := !p.heard
+	p.heard = true
+	p.mu.Unlock()
+	if first {
+		p.signalReady()
+	}
+}
+
+// signalReady wakes those that wait for a link.
+func (p *peer) signalReady() {
+	p.manager.mu.Lock()
+	defer p.manager.mu.Unlock()
+	p.manager.signal()
+}
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -39,7 +39,7 @@
 	for _, r := range v.agentSubsets() {
 		targets = append(targets, target(r))
 	}
-	return targets
+	return slices.DeleteFunc(targets, func(t Target) bool { return t.Address == "" })
 }
 
 func target(r *record) Target {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -125,6 +126,22 @@
 type Conn struct {
 	quic  *quic.Conn
 	clock *events.Clock
+	open  atomic.Int64
+}
+
+// OpenStreams returns the number of streams whose sending side is open here.
+func (c *Conn) OpenStreams() int { return int(c.open.Load()) }
+
+// Traffic returns the QUIC bytes and packets sent so far, without UDP and IP
+// headers.
+func (c *Conn) Traffic() (bytes, packets uint64) {
+	stats := c.quic.ConnectionStats()
+	return stats.BytesSent, stats.PacketsSent
+}
+
+func (c *Conn) count(q *quic.Stream) {
+	c.open.Add(1)
+	context.AfterFunc(q.Context(), func() { c.open.Add(-1) })
 }
 
 // Context is done when the connection is closed.
@@ -143,6 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.count(q)
 	s := newStream(q, c.clock)
 	if err := s.Send(&wire.Open{Stream: kind}); err != nil {
 		s.Abort()
@@ -158,6 +176,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.count(q)
 	return newStream(q, c.clock), nil
 }
 
