Connect the daemons: advertised addresses, pushed documents, last token

Cause: processes announced their bind address, so a process behind a relay was redialed past it; documents that the watcher read spread only by digests; a stream cut between its last token and its end got one token too many. Ruled out: deriving the advertised address from the connection, because a relay's or NAT's source address is not where the process listens. Change: setting advertise_address, WatcherConfig.Push to the links, a stream with all tokens ends without another attempt (test added, fails without the check); two tests used an administration key below the 16 characters required.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,15 @@
 unit:
 	$(GO) test -count=1 $$($(GO) list ./... | grep -v '/integration$$')
 
+# The integration tests start whole fleets, so they run one after the other.
+integration: build
+	$(GO) test -count=1 -timeout 20m ./integration/ -v -args -bin $(CURDIR)/$(BIN)
+
+# prove runs the long schedules and prints one line per property.
+SEED ?= 1
+prove: build
+	$(GO) test -count=1 -timeout 15m ./integration/ -v -args -bin $(CURDIR)/$(BIN) -long -seed $(SEED) | grep -E '^(PROOF|---|FAIL|ok|\s+\S+_test.go)'
+
 # FUZZ_TIME is per target. go test runs one fuzz target of one package at a time.
 FUZZ_TIME ?= 3s
 FUZZ_WORKERS ?= 4
@@ -35,7 +44,7 @@
 	$(GO) test -run='^$$' -fuzz='^FuzzVerify$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/ticket
 	$(GO) test -run='^$$' -fuzz='^FuzzRead$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/wire
 
-test: fmt-check vet lint build unit fuzz
+test: fmt-check vet lint build unit integration fuzz
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -215,6 +215,9 @@
 	if spec.Slots > 0 {
 		c.BackendServer.Slots = spec.Slots
 	}
+	if relay != nil {
+		c.AdvertiseAddress = relay.Address()
+	}
 	c.Keys = f.keys()
 	if f.options.AgentSettings != nil {
 		f.options.AgentSettings(&c)
@@ -261,6 +264,9 @@
 	if e.PlatformFaults != nil {
 		c.PlatformURL = "http://" + e.PlatformFaults.Address()
 	}
+	if relay != nil {
+		c.AdvertiseAddress = relay.Address()
+	}
 	c.Keys = f.keys()
 	e.Settings = c
 	e.Process = newProcess(f.Dir, name, f.binary("coltsfootbay"), "entry", "--settings", f.settingsFile(name))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -156,7 +157,7 @@
 		Start:        a.start,
 		Role:         fleet.RoleAgent,
 		Zone:         fleet.AvailabilityZone(a.config.Zone),
-		Address:      a.endpoint.Address(),
+		Address:      cmp.Or(a.config.AdvertiseAddress, a.endpoint.Address()),
 		AdminAddress: a.config.AdminAddress,
 	}
 }
--- a/internal/agent/process_test.go
+++ b/internal/agent/process_test.go
@@ -48,7 +48,7 @@
 		Authority:   certificate,
 		Key:         write("key.pem", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})),
 		Ticket:      write("ticket", []byte("1 "+strings.Repeat("ab", 32)+"\n")),
-		Admin:       write("admin", []byte("secret")),
+		Admin:       write("admin", []byte("0123456789abcdef0123456789abcdef")),
 	}
 }
 
--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -60,6 +60,9 @@
 	return s.buffer, nil
 }
 
+// finishLength is the finish reason of an answer that reached max_tokens.
+const finishLength = "length"
+
 func (c *Commands) newCompletion(call *Call, r Completion) *completion {
 	s := &completion{
 		attempts: &attempts{commands: c, call: call, query: routing.Request{
@@ -102,6 +105,9 @@
 		}
 	}
 	for {
+		if s.exhausted() {
+			return End{FinishReason: finishLength, CompletionTokens: s.order.tokens}
+		}
 		agent, e := s.choose()
 		if e != nil {
 			return End{Refusal: s.final(e)}
@@ -116,6 +122,12 @@
 	}
 }
 
+// exhausted reports whether every token was received and only the end of the
+// stream was lost. Another attempt would generate a token too many.
+func (s *completion) exhausted() bool {
+	return s.order.tokens > 0 && s.order.tokens >= s.request.MaxTokens
+}
+
 func (s *completion) attempt(ctx context.Context, agent member.Agent) (*End, *verdict.Error) {
 	x, e := s.open(ctx, agent, true)
 	if e != nil {
@@ -162,7 +174,7 @@
 		Completion: &wire.Completion{
 			Model: s.request.Model, Adapter: s.request.Adapter, Prompt: s.request.Prompt,
 			// The engine counts only new tokens after the text so far.
-			MaxTokens: max(s.request.MaxTokens-s.order.tokens, 1),
+			MaxTokens: s.request.MaxTokens - s.order.tokens,
 			Generated: s.order.text.String(), NextPart: s.order.next,
 		},
 	}
--- a/internal/entry/command/completion_test.go
+++ b/internal/entry/command/completion_test.go
@@ -183,3 +183,26 @@
 		is.Equal(rank, want)
 	}
 }
+
+// Guards against a token too many when every token has arrived and only the
+// end of the stream was lost.
+func TestLostEndAfterLastTokenNeedsNoAttempt(t *testing.T) {
+	is := is.New(t)
+	f, commands := newFleet(t)
+	attempts := 0
+	script := func(s *fakeStream, m wire.Message) {
+		attempts++
+		for n := range prompt.MaxTokens {
+			s.reply(part(m.(*wire.Submit), uint64(n), "x"))
+		}
+		s.reply(&wire.Refused{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerCrashed, Status: 502})
+	}
+	f.add("agent-1", wire.Report{Model: "m"}, script)
+	f.add("agent-2", wire.Report{Model: "m"}, script)
+	buffer, e := commands.StartCompletion(context.Background(), newCall(time.Second), prompt)
+	is.Equal(e, nil)
+	text, _, end := collect(buffer)
+	is.Equal(end.Refusal, nil)
+	is.Equal(text, "xxxxxxxx")
+	is.Equal(attempts, 1)
+}
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -111,7 +112,8 @@
 	}
 	p.listener = newBoundedListener(l, p.config.Limits.Connections)
 	// A port of 0 in the settings means any free one.
-	p.self.Address, p.self.CallerAddress = p.endpoint.Address(), l.Addr().String()
+	p.self.Address = cmp.Or(p.config.AdvertiseAddress, p.endpoint.Address())
+	p.self.CallerAddress = l.Addr().String()
 	return nil
 }
 
--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -58,7 +58,7 @@
 		Certificate: write("cert.pem", chain), Authority: write("ca.pem", chain),
 		Key:    write("key.pem", pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: private})),
 		Ticket: write("ticket.keys", []byte("1 "+strings.Repeat("ab", 32)+"\n")),
-		Admin:  write("admin.key", []byte("admin-key\n")),
+		Admin:  write("admin.key", []byte("0123456789abcdef0123456789abcdef\n")),
 	}
 }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -4,11 +4,15 @@
 	"context"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/config"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 // newWatcher returns the reader of the platform's documents.
 func (p *process) newWatcher() *config.Watcher {
-	return config.NewWatcher(config.WatcherConfig{URL: p.config.PlatformURL, Store: p.store, Reader: p.view.Reader, Recorder: p.recorder})
+	return config.NewWatcher(config.WatcherConfig{
+		URL: p.config.PlatformURL, Store: p.store, Reader: p.view.Reader, Recorder: p.recorder,
+		Push: func(documents []wire.Document) { p.links.PublishDocuments(documents, p.store.Revision()) },
+	})
 }
 
 // feedVMs hands every new VM list to the member view and begins to leave when
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -56,6 +56,9 @@
 	Zone string `toml:"zone"`
 	// PeerAddress is the IP address and UDP port for entry VMs. Required.
 	PeerAddress string `toml:"peer_address"`
+	// AdvertiseAddress is the IP address and port at which others reach the
+	// process. Default: peer_address. Set it where the two differ.
+	AdvertiseAddress string `toml:"advertise_address"`
 	// AdminAddress is the IP address and TCP port of the administration API.
 	// Required.
 	AdminAddress string `toml:"admin_address"`
@@ -99,6 +102,7 @@
 func (c *AgentConfig) check(f *tomlfile.File) {
 	checkIdentity(f, c.Name, c.Zone)
 	checkAddress(f, "peer_address", c.PeerAddress)
+	checkOptionalAddress(f, "advertise_address", c.AdvertiseAddress)
 	checkAddress(f, "admin_address", c.AdminAddress)
 	f.DurationInRange("resume_grace", c.ResumeGrace, 0, 5*time.Minute)
 	tomlfile.InRange(f, "stream_buffer_bytes", c.StreamBufferBytes, 4096, 16<<20)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -75,6 +75,9 @@
 	CallerAddress string `toml:"caller_address"`
 	// PeerAddress is the IP address and UDP port for other processes. Required.
 	PeerAddress string `toml:"peer_address"`
+	// AdvertiseAddress is the IP address and port at which others reach the
+	// process. Default: peer_address. Set it where the two differ.
+	AdvertiseAddress string `toml:"advertise_address"`
 	// AdminAddress is the IP address and TCP port of the administration API.
 	// Required.
 	AdminAddress string `toml:"admin_address"`
@@ -123,6 +126,7 @@
 	checkIdentity(f, c.Name, c.Zone)
 	checkAddress(f, "caller_address", c.CallerAddress)
 	checkAddress(f, "peer_address", c.PeerAddress)
+	checkOptionalAddress(f, "advertise_address", c.AdvertiseAddress)
 	checkAddress(f, "admin_address", c.AdminAddress)
 	checkURL(f, "platform_url", c.PlatformURL)
 	for _, seed := range c.Seeds {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -89,6 +89,12 @@
 	}
 }
 
+func checkOptionalAddress(f *tomlfile.File, key, address string) {
+	if address != "" {
+		checkAddress(f, key, address)
+	}
+}
+
 func checkURL(f *tomlfile.File, key, text string) {
 	u, err := url.Parse(text)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
