--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -19,14 +19,20 @@
 	Error  string          `json:"error,omitempty"`
 }
 
+// statusColumns are the plain values that the table shows where a process gives
+// them, in this order; --json prints the rest.
+var statusColumns = []string{
+	"process", "zone", "ready", "leaving", "config_revision", "platform_age_ms", "entries", "agents", "in_flight",
+	"server", "kind", "server_up", "running", "queued", "slots", "tokens_per_second",
+}
+
 func newStatus() *cobra.Command {
 	var flags adminFlags
 	var asJSON bool
 	c := &cobra.Command{
 		Use:   "status --admin URL... --key-file FILE",
 		Short: "Show the status of processes",
-		Long: `Show the status of processes, one row each, with a column for each plain value
-of their answers. --json prints the whole answers. The exit status is 1 if no
+		Long: `Show the status of processes, one row each. --json prints the whole answers. The exit status is 1 if no
 process answered.`,
 		Example: `  coltsfootbay status --admin http://192.0.2.1:7002 --admin http://192.0.2.2:7002 --key-file admin.key
   coltsfootbay status --admin http://192.0.2.1:7002 --key-file admin.key --json`,
@@ -72,16 +78,12 @@
 
 func printTable(w io.Writer, all []processStatus) error {
 	rows := make([]map[string]string, len(all))
-	var columns []string
 	for i, p := range all {
 		rows[i] = plainValues(p.Status)
-		for name := range rows[i] {
-			if !slices.Contains(columns, name) {
-				columns = append(columns, name)
-			}
-		}
 	}
-	slices.Sort(columns)
+	columns := slices.DeleteFunc(slices.Clone(statusColumns), func(name string) bool {
+		return !slices.ContainsFunc(rows, func(row map[string]string) bool { return row[name] != "" })
+	})
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, strings.Join(append([]string{"admin"}, columns...), "\t"))
 	for i, p := range all {
