Serve callers over HTTPS where a certificate is set

Cause: bearer keys of client accounts crossed the network in plain text, with no way to change that. Ruled out: one certificate for both sides; callers don't know the fleet's authority. Change: keys.caller_certificate and keys.caller_key, reloaded like the others; HTTP/1.1 only, because limits and leaving were tested on it alone. Before: plain HTTP only. After: the leaving test talks HTTPS to a real process; go test -race passes on entry, transport and settings. Conclusion: set both files in production.

--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -111,12 +112,27 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	p.listener = newBoundedListener(l, p.config.Limits.Connections)
+	if p.config.Keys.CallerCertificate != "" {
+		if err := p.useCallerTLS(); err != nil {
+			return errors.Join(err, l.Close())
+		}
+	}
 	// A port of 0 in the settings means any free one.
 	p.self.Address = cmp.Or(p.config.AdvertiseAddress, p.endpoint.Address())
 	p.self.CallerAddress = l.Addr().String()
 	return nil
 }
 
+// useCallerTLS puts TLS on the callers' listener.
+func (p *process) useCallerTLS() error {
+	identity, err := transport.LoadIdentity(transport.KeyFiles{Certificate: p.config.Keys.CallerCertificate, Key: p.config.Keys.CallerKey})
+	if err != nil {
+		return err
+	}
+	p.listener = tls.NewListener(p.listener, identity.CallerConfig())
+	return nil
+}
+
 // build connects the parts.
 func (p *process) build() {
 	p.view = member.NewView(member.Config{Self: p.self, Seeds: p.config.Seeds, AgentSubset: p.config.AgentSubset})
--- a/internal/entry/run_test.go
+++ b/internal/entry/run_test.go
@@ -5,6 +5,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"encoding/pem"
 	"io"
@@ -73,11 +74,14 @@
 }
 
 // Guards against a planned stop that refuses callers who still hold an address
-// answer, and against a shutdown that ends in an error.
+// answer, against a shutdown that ends in an error, and against a callers'
+// certificate that is not used.
 func TestLeavingProcessServesForTheAddressLifetime(t *testing.T) {
 	is := is.New(t)
 	c := settings.DefaultEntryConfig()
 	c.Name, c.Zone, c.Keys = "entry-1", "a", writeKeys(t)
+	c.Keys.CallerCertificate, c.Keys.CallerKey = c.Keys.Certificate, c.Keys.Key
+	callers := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
 	c.CallerAddress, c.PeerAddress, c.AdminAddress = freeAddress(t), "127.0.0.1:0", freeAddress(t)
 	c.PlatformURL = "http://" + freeAddress(t)
 	c.AddressLifetime = tomlfile.Duration(time.Second)
@@ -85,7 +89,7 @@
 	defer stop()
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, c, io.Discard) }()
-	get := func() (*http.Response, error) { return http.Get("http://" + c.CallerAddress + "/v1/addresses") }
+	get := func() (*http.Response, error) { return callers.Get("https://" + c.CallerAddress + "/v1/addresses") }
 	for range 200 {
 		if r, err := get(); err == nil {
 			r.Body.Close()
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,6 +22,11 @@
 	// and at least 64 hexadecimal digits; the first one signs. Required, and
 	// the same on all processes of a fleet.
 	Ticket string `toml:"ticket"`
+	// CallerCertificate and CallerKey are PEM files with a certificate chain
+	// and its private key for callers, who then connect over HTTPS. Default
+	// empty: plain HTTP. Entry processes only.
+	CallerCertificate string `toml:"caller_certificate"`
+	CallerKey         string `toml:"caller_key"`
 	// Admin is a file with the bearer key of the administration API. Required.
 	Admin string `toml:"admin"`
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -109,6 +109,9 @@
 	f.Required("keys.authority", k.Authority, allowed)
 	f.Required("keys.ticket", k.Ticket, allowed)
 	f.Required("keys.admin", k.Admin, allowed)
+	if (k.CallerCertificate == "") != (k.CallerKey == "") {
+		f.Add("keys.caller_certificate", "both caller_certificate and caller_key, or neither", "lacks its counterpart")
+	}
 }
 
 func checkLimits(f *tomlfile.File, l Limits) {
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -22,7 +22,8 @@
 	Certificate string
 	Key         string
 	// Authority holds the certificates of the fleet's certificate authority;
-	// it may hold several while the authority is being replaced.
+	// it may hold several while the authority is being replaced. It is empty
+	// for an identity that is shown to callers only.
 	Authority string
 }
 
@@ -53,19 +54,31 @@
 	if err != nil {
 		return fmt.Errorf("load certificate %s with key %s: %w", id.files.Certificate, id.files.Key, err)
 	}
-	pem, err := os.ReadFile(id.files.Authority)
+	pool, err := loadAuthority(id.files.Authority)
 	if err != nil {
-		return fmt.Errorf("read certificate authority: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return fmt.Errorf("%s holds no PEM certificate", id.files.Authority)
+		return err
 	}
 	id.certificate, id.authority = &certificate, pool
 	id.modified, id.checked = id.modificationTimes(), time.Now()
 	return nil
 }
 
+// loadAuthority returns an empty pool, which certifies nobody, without a file.
+func loadAuthority(file string) (*x509.CertPool, error) {
+	pool := x509.NewCertPool()
+	if file == "" {
+		return pool, nil
+	}
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read certificate authority: %w", err)
+	}
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no PEM certificate", file)
+	}
+	return pool, nil
+}
+
 func (id *Identity) modificationTimes() [3]time.Time {
 	var times [3]time.Time
 	for i, name := range []string{id.files.Certificate, id.files.Key, id.files.Authority} {
@@ -90,6 +103,19 @@
 	return id.certificate, id.authority
 }
 
+// CallerConfig returns the configuration of a listener for callers, who show no
+// certificate of their own.
+func (id *Identity) CallerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			certificate, _ := id.current()
+			return certificate, nil
+		},
+	}
+}
+
 func (id *Identity) serverConfig() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
