routing: confine completions that were never answered to two agents

Cause: copies of a crashing request that several callers send together reach several agents before the first crash is known, so each copy ends a server of its own. The suspicions, which spread in milliseconds, come too late for them.

Ruled out: waiting longer for acknowledgements, because the copies are already running; sending every request by hash, because one popular prompt would then use two engines only.

Change: all entries rank the agents by a hash with the fingerprint and run a completion on the first two only, until it has ended well once at that entry. A suspect runs on the one whose server did not end during it.

Entries whose cache digests differ may choose another second agent for a long prompt; that is not measured.

--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -66,7 +66,7 @@
 func (c *Commands) newCompletion(call *Call, r Completion) *completion {
 	s := &completion{
 		attempts: &attempts{commands: c, call: call, query: routing.Request{
-			Model: r.Model, Adapter: r.Adapter, Prompt: r.Prompt, MaxTokens: r.MaxTokens,
+			Model: r.Model, Adapter: r.Adapter, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Fingerprint: call.Fingerprint,
 		}},
 		request:   r,
 		buffer:    newBuffer(c.StreamBufferBytes),
@@ -108,6 +108,9 @@
 		if s.exhausted() {
 			return End{FinishReason: finishLength, CompletionTokens: s.order.tokens}
 		}
+		if e := s.confine(ctx); e != nil {
+			return End{Refusal: s.final(e)}
+		}
 		agent, e := s.choose()
 		if e != nil {
 			return End{Refusal: s.final(e)}
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -64,6 +64,9 @@
 		r.entries[s.Fingerprint] = e
 	}
 	changed := e.add(s) || !known
+	if len(e.crashes) > 0 {
+		r.proven.remove(s.Fingerprint)
+	}
 	e.account = max(e.account, s.Account)
 	if until := r.now().Add(remaining); until.After(e.expires) {
 		e.expires = until
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -42,11 +42,12 @@
 
 	mu      sync.Mutex
 	entries map[uint64]*entry
+	proven  proven
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{now: time.Now, entries: map[uint64]*entry{}}
+	return &Registry{now: time.Now, entries: map[uint64]*entry{}, proven: newProven()}
 }
 
 // Fingerprint identifies requests of an account with the same content.
@@ -89,11 +90,38 @@
 	return Quarantined
 }
 
-// Succeeded clears a suspicion of a single crash; ok is false if there was
-// none. The returned suspicion is to be published.
+// Proven reports whether a request with the fingerprint ran to its end here
+// lately and no server has ended during one since.
+func (r *Registry) Proven(fingerprint uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.find(fingerprint)
+	return (e == nil || len(e.crashes) == 0) && r.proven.has(fingerprint)
+}
+
+// EndedOn returns the agents whose servers ended during a request with the
+// fingerprint.
+func (r *Registry) EndedOn(fingerprint uint64) []fleet.ProcessID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.find(fingerprint)
+	if e == nil {
+		return nil
+	}
+	var out []fleet.ProcessID
+	for _, c := range e.crashes {
+		out = append(out, c.Agent)
+	}
+	return out
+}
+
+// Succeeded notes that a request ran to its end and clears a suspicion of a
+// single crash; ok is false if there was none. The returned suspicion is to be
+// published.
 func (r *Registry) Succeeded(fingerprint uint64) (s wire.Suspicion, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.proven.add(fingerprint)
 	e := r.find(fingerprint)
 	if e == nil || len(e.crashes) != 1 {
 		return wire.Suspicion{}, false
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -107,3 +107,22 @@
 func TestFingerprintSeparatesAccountFromBody(t *testing.T) {
 	is.New(t).True(Fingerprint("a", []byte("bc")) != Fingerprint("ab", []byte("c")))
 }
+
+// Guards against a request that counts as proven although a server ended during
+// a later run of it.
+func TestCrashEndsProof(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	is.True(!r.Proven(1))
+	r.Succeeded(1)
+	is.True(r.Proven(1))
+	s := r.Blame(1, "alpha", wire.Crash{Agent: "agent-1", ServerStart: "1"})
+	is.True(!r.Proven(1))
+	is.Equal(len(r.EndedOn(1)), 1)
+	r.Merge([]wire.Suspicion{{Fingerprint: 1, Remaining: s.Remaining, Lifts: 1}})
+	is.True(!r.Proven(1))
+	for i := range uint64(4 * provenPerGeneration) {
+		r.Succeeded(i + 10)
+	}
+	is.True(len(r.proven.present)+len(r.proven.former) <= 2*provenPerGeneration)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -48,6 +48,11 @@
 	MaxTokens int
 	// Exclude names agents that must not be chosen.
 	Exclude []fleet.ProcessID
+	// Fingerprint identifies requests with the same content.
+	Fingerprint uint64
+	Confinement Confinement
+	// EndedOn names the agents whose servers ended during the request.
+	EndedOn []fleet.ProcessID
 }
 
 // Tokens estimates the work of the request in tokens.
@@ -90,6 +95,9 @@
 	case r.policy == TwoChoices || q.Service != "":
 		return r.best(twoRandom(candidates), r.outstanding), true
 	}
+	if q.Confinement != Free {
+		return r.chooseConfined(agents, candidates, q), true
+	}
 	return r.chooseScored(candidates, q), true
 }
 
@@ -98,10 +106,7 @@
 func (r *Router) chooseScored(candidates []member.Agent, q Request) member.Agent {
 	prefixes := PrefixHashes(q.Model, q.Prompt)
 	missing := func(a member.Agent) float64 { return float64(missingBytes(a, prefixes, len(q.Prompt))) }
-	compared := append(twoRandom(candidates), r.best(candidates, missing))
-	return r.best(compared, func(a member.Agent) float64 {
-		return r.wait(a) + r.promptTime(a, missing(a)) + r.zoneCost(a)
-	})
+	return r.lowestScore(append(twoRandom(candidates), r.best(candidates, missing)), q)
 }
 
 func (r *Router) best(candidates []member.Agent, cost func(member.Agent) float64) member.Agent {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -80,3 +80,56 @@
 		}
 	}
 }
+
+// Guards against copies of one crashing request that arrive together at several
+// entries and end a server each: entries with other loads and a view in which
+// servers are already down must keep to the same two agents.
+func TestUntriedRequestsStayOnTwoAgents(t *testing.T) {
+	is := is.New(t)
+	var agents []member.Agent
+	for i := range 6 {
+		agents = append(agents, agent(i))
+	}
+	for fingerprint := range uint64(50) {
+		q := Request{Model: "m", Prompt: "p", MaxTokens: 8, Fingerprint: fingerprint, Confinement: Untried}
+		used := map[fleet.ProcessID]bool{}
+		for i := range 24 {
+			seen := append([]member.Agent(nil), agents...)
+			seen[i%6].Report.QueuedTokens = 1000
+			if i >= 12 {
+				down := home(agents, q)[0]
+				for j := range seen {
+					seen[j].Report.ServerUp = seen[j].Hello.Process != down.Hello.Process
+				}
+			}
+			a, ok := NewRouter(Scored, "a").Choose(seen, q)
+			is.True(ok)
+			used[a.Hello.Process] = true
+		}
+		is.True(len(used) <= homeAgents)
+		q.Confinement = Suspected
+		first, _ := NewRouter(Scored, "a").Choose(agents, q)
+		q.EndedOn = []fleet.ProcessID{first.Hello.Process}
+		second, _ := NewRouter(Scored, "a").Choose(agents, q)
+		is.True(first.Hello.Process != second.Hello.Process)
+		is.True(used[first.Hello.Process] && used[second.Hello.Process])
+	}
+}
+
+// Guards against good requests that find no agent because both that they are
+// confined to are down.
+func TestConfinedRequestGoesOnWhenBothAreDown(t *testing.T) {
+	is := is.New(t)
+	agents := []member.Agent{agent(0), agent(1), agent(2), agent(3)}
+	q := Request{Model: "m", Prompt: "p", Fingerprint: 7, Confinement: Untried}
+	for _, h := range home(agents, q) {
+		for i := range agents {
+			if agents[i].Hello.Process == h.Hello.Process {
+				agents[i].Report.ServerUp = false
+			}
+		}
+	}
+	is.True(!HomeReady(agents, q))
+	_, ok := NewRouter(Scored, "a").Choose(agents, q)
+	is.True(ok)
+}
