queue: count items that became suspects after their dispatch

Cause: the queue asked whether an item is a suspect only at its dispatch. A copy of a crashing request that already ran when its twin ended another server did not count, so a good request that was suspected for the same crash could run beside it, be blamed a second time and be quarantined.

Ruled out: asking all running items at every pick; the queue asks them only when the item to dispatch is a suspect itself.

Change: the queue keeps the running items and asks them when it matters.

Figures: TestItemThatBecomesSuspectCounts fails without the change and passes with it.

--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -60,7 +60,7 @@
 // suspect runs at a time.
 func (q *Queue) head(a *account, rank fleet.Rank) *Item {
 	for _, i := range a.items[rank] {
-		if q.suspects == 0 || i.Suspect == nil || !i.Suspect() {
+		if i.Suspect == nil || !i.Suspect() || !q.suspectRuns() {
 			return i
 		}
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -65,7 +65,6 @@
 	sequence uint64
 	arrived  time.Time
 	class    fleet.Rank
-	suspect  bool
 	waiting  bool
 }
 
@@ -98,7 +97,8 @@
 	stats    Stats
 	queued   [fleet.RankCount]int64
 	bytes    int64
-	suspects int
+	// running holds the dispatched items until Done.
+	running map[*Item]struct{}
 }
 
 // New returns an empty queue.
@@ -109,7 +109,7 @@
 	if o.Rate == nil {
 		o.Rate = func() float64 { return 0 }
 	}
-	return &Queue{options: o, accounts: map[fleet.ClientAccount]*account{}}
+	return &Queue{options: o, accounts: map[fleet.ClientAccount]*account{}, running: map[*Item]struct{}{}}
 }
 
 // Push adds an item, or refuses it if the queue is full or the estimated wait
@@ -183,9 +183,7 @@
 	defer q.mu.Unlock()
 	q.stats.Running--
 	q.stats.Tokens -= i.Tokens
-	if i.suspect {
-		q.suspects--
-	}
+	delete(q.running, i)
 	a := q.accounts[i.Account]
 	a.running--
 	q.charge(a, i, used-i.Tokens)
@@ -227,13 +225,21 @@
 	q.charge(a, i, i.Tokens)
 	a.running++
 	q.stats.Running++
-	i.suspect = i.Suspect != nil && i.Suspect()
-	if i.suspect {
-		q.suspects++
-	}
+	q.running[i] = struct{}{}
 	close(i.ready)
 }
 
+// suspectRuns reports whether a running item is a suspect now. An item may have
+// become one after its dispatch, when another copy of it ended a server.
+func (q *Queue) suspectRuns() bool {
+	for i := range q.running {
+		if i.Suspect != nil && i.Suspect() {
+			return true
+		}
+	}
+	return false
+}
+
 // charge adds tokens to what the account and the rank were served.
 func (q *Queue) charge(a *account, i *Item, tokens int64) {
 	now := q.options.Now()
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -200,3 +200,20 @@
 	q.Done(clean, 0)
 	is.Equal(q.Stats().Tokens, int64(0))
 }
+
+// Guards against a suspect that runs beside an item which became one after its
+// dispatch: a crash would then be blamed on both.
+func TestItemThatBecomesSuspectCounts(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Slots: 2})
+	suspected := false
+	running, waiting := c.item("a", 1, fleet.RankTop), c.item("a", 1, fleet.RankTop)
+	running.Suspect = func() bool { return suspected }
+	waiting.Suspect = func() bool { return true }
+	is.True(q.Push(running) == nil)
+	suspected = true
+	is.True(q.Push(waiting) == nil)
+	is.True(ready(running) && !ready(waiting))
+	q.Done(running, 0)
+	is.True(ready(waiting))
+}
