entry: count a waiting part's own memory in a slow caller's buffer

Cause: the bound of 256 KiB for what a slow caller has not read counted the text alone. Parts of one token have about 5 bytes of text, so the buffer took 52,428 of them, each with its record.

Ruled out: joining parts in the buffer, because callers resume by part number.

The proofs of this area come with it: a caller that hangs up frees its engine slot and its place in the queue, and a caller that does not read is bounded and does not slow 20 that do.

What the caller's connection has taken and not written can be as much again, and the kernel's buffers come on top.

--- /dev/null
+++ b/integration/callers_test.go
@@ -0,0 +1,330 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/integration/harness"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+)
+
+const (
+	// freedBound is how long after a caller's hang-up the engine may go on.
+	freedBound = 250 * time.Millisecond
+	// countsPoll is the pause between looks at the stand-in's counts.
+	countsPoll = 2 * time.Millisecond
+	// maxGrowthBytes bounds what one caller that does not read may add to a
+	// process: its buffer, the part records and the collector's slack.
+	maxGrowthBytes = 8 << 20
+	// stuckTokens of an unread stream are more than the kernel's buffers hold:
+	// with buffers of 16 KiB the agent canceled the stream at 18,000 to 22,000.
+	stuckTokens = 14000
+	// slackBetween absorbs pauses of a shared machine; the target at p95 is 76 ms.
+	slackBetween = 10 * time.Millisecond
+)
+
+func entryBuffer(n int) func(*settings.EntryConfig) {
+	return func(c *settings.EntryConfig) { c.Limits.StreamBufferBytes = n }
+}
+
+func agentBuffer(n int) func(*settings.AgentConfig) {
+	return func(c *settings.AgentConfig) { c.StreamBufferBytes = n }
+}
+
+// rawCompletion posts a completion and returns without reading the answer.
+func rawCompletion(ctx context.Context, f *harness.Fleet, entry int, prompt string, tokens int, stream bool) (*http.Response, error) {
+	body, _ := json.Marshal(map[string]any{"model": streamModel, "prompt": prompt, "max_tokens": tokens, "stream": stream})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.Entries[entry].Settings.CallerAddress+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer key-alpha")
+	request.Header.Set("Request-Timeout-Ms", "60000")
+	return (&http.Client{Transport: &http.Transport{}}).Do(request)
+}
+
+// hangUp is a caller that can close its connection.
+type hangUp struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func startHangUp(t *testing.T, f *harness.Fleet, entry int, prompt string, tokens int, stream bool) *hangUp {
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &hangUp{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(h.done)
+		response, err := rawCompletion(ctx, f, entry, prompt, tokens, stream)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}()
+	return h
+}
+
+// engineUntil waits until the engine has a number of active and of begun runs
+// and returns the time that it took.
+func engineUntil(t *testing.T, a *harness.Agent, what string, limit time.Duration, reached func(active, runs int) bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for {
+		counts, err := a.EngineCounts(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		runs := 0
+		for _, n := range counts.Runs {
+			runs += n
+		}
+		if reached(len(counts.Active), runs) {
+			return time.Since(began)
+		}
+		if time.Since(began) > limit {
+			t.Fatalf("%s: not reached in %s: active %d, runs %d", what, limit, len(counts.Active), runs)
+		}
+		time.Sleep(countsPoll)
+	}
+}
+
+// agentQueued returns the requests that wait at the agent, by its status.
+func agentQueued(t *testing.T, f *harness.Fleet, a *harness.Agent) int {
+	t.Helper()
+	var status struct {
+		Queued int `json:"queued"`
+	}
+	if err := f.Admin(t.Context(), http.MethodGet, a.Settings.AdminAddress, "/admin/v1/status", nil, &status); err != nil {
+		t.Fatal(err)
+	}
+	return status.Queued
+}
+
+// Guards against an engine slot that stays taken after its caller hung up, and
+// against a queued request that still runs.
+func TestCallerHangUpFreesSlot(t *testing.T) {
+	f := streamFleet(t, 2, 1, func(o *harness.Options) { o.Agents[0].Slots = 1 }, "--step-base", "20ms")
+	a := f.Agents[0]
+	const tokens = 2000
+	slowest := map[string]time.Duration{}
+	measured, ranAfterHangUp := 0, 0
+	for i := range amount(10, 60) {
+		for _, stream := range []bool{true, false} {
+			kind := map[bool]string{true: "sse", false: "json"}[stream]
+			idle := func(active, _ int) bool { return active == 0 }
+			engineUntil(t, a, "idle", time.Second, idle)
+			counts, err := a.EngineCounts(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := len(counts.Runs)
+			running := startHangUp(t, f, i%2, fmt.Sprintf("running %s %d", kind, i), tokens, stream)
+			engineUntil(t, a, "running", 2*time.Second, func(active, _ int) bool { return active == 1 })
+			queued := startHangUp(t, f, (i+1)%2, fmt.Sprintf("queued %s %d", kind, i), tokens, stream)
+			for deadline := time.Now().Add(2 * time.Second); agentQueued(t, f, a) != 1; time.Sleep(countsPoll) {
+				if time.Now().After(deadline) {
+					t.Fatal("the second request was not queued")
+				}
+			}
+			queued.cancel()
+			began := time.Now()
+			for agentQueued(t, f, a) != 0 {
+				if time.Since(began) > time.Second {
+					t.Fatal("the queued request of a caller that hung up still waits")
+				}
+				time.Sleep(countsPoll)
+			}
+			slowest["queued_"+kind] = max(slowest["queued_"+kind], time.Since(began))
+			// A third caller takes the slot as soon as the first one hangs up.
+			next := startHangUp(t, f, i%2, fmt.Sprintf("next %s %d", kind, i), tokens, stream)
+			for deadline := time.Now().Add(2 * time.Second); agentQueued(t, f, a) != 1; time.Sleep(countsPoll) {
+				if time.Now().After(deadline) {
+					t.Fatal("the third request was not queued")
+				}
+			}
+			running.cancel()
+			took := engineUntil(t, a, "the next request runs", 2*time.Second, func(active, runs int) bool { return active == 1 && runs == before+2 })
+			slowest["running_"+kind] = max(slowest["running_"+kind], took)
+			next.cancel()
+			took = engineUntil(t, a, "the slot is free", 2*time.Second, idle)
+			slowest["freed_"+kind] = max(slowest["freed_"+kind], took)
+			measured++
+			counts, err = a.EngineCounts(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			ranAfterHangUp += len(counts.Runs) - before - 2
+		}
+	}
+	for name, d := range slowest {
+		if d > freedBound {
+			t.Errorf("%s: %s until the slot or the place was free, want at most %s", name, d, freedBound)
+		}
+	}
+	if ranAfterHangUp != 0 {
+		t.Errorf("%d queued requests ran after their callers hung up", ranAfterHangUp)
+	}
+	proved(t, "hang_up_frees_slot", "hang_ups", 3*measured, "bound_ms", freedBound.Milliseconds(),
+		"slowest_running_sse_ms", slowest["running_sse"].Milliseconds(), "slowest_running_json_ms", slowest["running_json"].Milliseconds(),
+		"slowest_freed_sse_ms", slowest["freed_sse"].Milliseconds(), "slowest_freed_json_ms", slowest["freed_json"].Milliseconds(),
+		"slowest_queued_sse_ms", slowest["queued_sse"].Milliseconds(), "slowest_queued_json_ms", slowest["queued_json"].Milliseconds(),
+		"queued_that_ran", ranAfterHangUp)
+}
+
+var longModel = "small-" + strings.Repeat("x", 50)
+
+// residentBytes returns the memory that a process holds.
+func residentBytes(t *testing.T, pid int) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(data))
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pages * os.Getpagesize()
+}
+
+// watchResident samples the memory of a process until the returned function
+// gives the peak.
+func watchResident(t *testing.T, p *harness.Process) (peak func() int) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	highest, pid := 0, p.PID()
+	go func() {
+		defer close(done)
+		for {
+			highest = max(highest, residentBytes(t, pid))
+			select {
+			case <-stop:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		<-done
+		return highest
+	}
+}
+
+// notReading opens a stream and never reads more than the kernel takes, which a
+// small receive buffer bounds.
+func notReading(t *testing.T, f *harness.Fleet, tokens int) {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.Entries[0].Settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	body, _ := json.Marshal(map[string]any{"model": longModel, "prompt": "never read", "max_tokens": tokens, "stream": true})
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer key-alpha\r\nRequest-Timeout-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// betweenTokens runs callers that read and returns their times between parts,
+// sorted.
+func betweenTokens(t *testing.T, f *harness.Fleet, label string, callers, tokens int, tally *streamTally) []time.Duration {
+	t.Helper()
+	var mu sync.Mutex
+	var all []time.Duration
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), streamDeadline)
+			defer cancel()
+			call := harness.Completion{Model: longModel, MaxTokens: tokens, Prompt: fmt.Sprintf("%s %d", label, i)}
+			o := f.ClientFrom(streamAccount, 0).Complete(ctx, call)
+			tally.check(t, label, call, o)
+			mu.Lock()
+			defer mu.Unlock()
+			for j := 1; j < len(o.PartTimes); j++ {
+				all = append(all, o.PartTimes[j]-o.PartTimes[j-1])
+			}
+		})
+	}
+	group.Wait()
+	slices.Sort(all)
+	return all
+}
+
+func quantile(sorted []time.Duration, part float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(part*float64(len(sorted))))]
+}
+
+// Guards against a caller that does not read and slows the callers beside it,
+// or fills the memory of the entry VM or the agent beyond the bounds of its
+// stream.
+func TestSlowCallerIsBounded(t *testing.T) {
+	const readers = 20
+	bufferBytes := amount(16<<10, 256<<10)
+	f := streamFleet(t, 1, 1, func(o *harness.Options) {
+		// A long model name makes long events, which fill the kernel's buffers
+		// soon.
+		o.Models[0].Name, o.Agents[0].Backend = longModel, longModel
+		o.Templates[0].Models = []string{longModel}
+		o.Agents[0].Slots = readers + 4
+		o.EntrySettings = entryBuffer(bufferBytes)
+		o.AgentSettings = agentBuffer(bufferBytes)
+	}, "--step-base", "200us", "--step-per-sequence", "300us")
+	e, a := f.Entries[0], f.Agents[0]
+	var tally streamTally
+	tokens := amount(300, 2000)
+	betweenTokens(t, f, "warm", readers, 100, &tally)
+	alone := betweenTokens(t, f, "alone", readers, tokens, &tally)
+	read := readers * (tokens + 100)
+	entryPeak, agentPeak := watchResident(t, e.Process), watchResident(t, a.Process)
+	entryBefore, agentBefore := residentBytes(t, e.PID()), residentBytes(t, a.PID())
+	notReading(t, f, 60000)
+	engineUntil(t, a, "the unread stream is stuck", 40*time.Second, func(active, _ int) bool {
+		counts, err := a.EngineCounts(t.Context())
+		return err == nil && counts.Tokens-read > stuckTokens
+	})
+	beside := betweenTokens(t, f, "beside", readers, tokens, &tally)
+	// The stream of the caller that does not read fills the kernel's buffers and
+	// both bounds, and then the agent cancels it.
+	engineUntil(t, a, "the unread stream ends", 50*time.Second, func(active, _ int) bool { return active == 0 })
+	counts, err := a.EngineCounts(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	unread := counts.Tokens - read - readers*tokens
+	if counts.Canceled == 0 {
+		t.Error("the engine generated the whole answer for a caller that does not read")
+	}
+	entryGrowth, agentGrowth := entryPeak()-entryBefore, agentPeak()-agentBefore
+	if entryGrowth > maxGrowthBytes || agentGrowth > maxGrowthBytes {
+		t.Errorf("memory grew by %d bytes in the entry and %d in the agent, want at most %d", entryGrowth, agentGrowth, maxGrowthBytes)
+	}
+	p50, p99 := quantile(alone, 0.5), quantile(alone, 0.99)
+	q50, q99 := quantile(beside, 0.5), quantile(beside, 0.99)
+	if q50 > 2*p50+slackBetween || q99 > 2*p99+slackBetween {
+		t.Errorf("time between tokens %s and %s at p50 and p99 beside a caller that does not read, %s and %s without it", q50, q99, p50, p99)
+	}
+	proved(t, "slow_caller_bounded", "readers", readers, "alone_p50_us", p50.Microseconds(), "alone_p99_us", p99.Microseconds(),
+		"beside_p50_us", q50.Microseconds(), "beside_p99_us", q99.Microseconds(), "entry_growth_kib", entryGrowth>>10, "agent_growth_kib", agentGrowth>>10,
+		"bound_kib", maxGrowthBytes>>10, "buffer_kib", bufferBytes>>10, "unread_tokens_generated", unread)
+}
--- a/internal/entry/command/buffer.go
+++ b/internal/entry/command/buffer.go
@@ -6,6 +6,10 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
+// partOverhead is the memory of a waiting part beside its text, in bytes. Parts
+// of one token have about 5 bytes of text, so it is most of what they take.
+const partOverhead = 64
+
 // Part is one numbered piece of a stream on its way to the caller.
 type Part struct {
 	Number uint64
@@ -23,7 +27,8 @@
 }
 
 // Buffer holds the parts that the caller has not taken yet. When it is full the
-// producer waits, which in turn fills the agent's buffer.
+// producer waits, which in turn fills the agent's buffer. The caller's
+// connection can hold as much again, which it has taken and not yet written.
 type Buffer struct {
 	limit int
 
@@ -46,14 +51,15 @@
 func (b *Buffer) put(p Part) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for !b.closed && b.bytes > 0 && b.bytes+len(p.Text) > b.limit {
+	size := len(p.Text) + partOverhead
+	for !b.closed && b.bytes > 0 && b.bytes+size > b.limit {
 		b.change.Wait()
 	}
 	if b.closed {
 		return false
 	}
 	b.parts = append(b.parts, p)
-	b.bytes += len(p.Text)
+	b.bytes += size
 	b.change.Broadcast()
 	return true
 }
