integration: check that cuts between entry VMs drop packets

Cause: a cut that names the wrong sender would drop nothing, and the quarantine schedule would pass without its fault.

Ruled out: waiting until the members list shows the link as down, which takes 3 s, longer than a round.

Change: the UDP relay counts dropped packets, and the schedule fails when a cut drops none.

--- a/integration/harness/udprelay.go
+++ b/integration/harness/udprelay.go
@@ -37,6 +37,7 @@
 	toTarget   map[netip.AddrPort]LinkFault
 	fromTarget map[netip.AddrPort]LinkFault
 	closed     bool
+	dropped    int
 }
 
 // NewUDPRelay listens on a loopback address and passes packets to target.
@@ -84,6 +85,14 @@
 	return nil
 }
 
+// Dropped returns how many packets faults have dropped, so that a test can tell
+// that a fault took effect.
+func (r *UDPRelay) Dropped() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
+
 // Heal removes all faults.
 func (r *UDPRelay) Heal() {
 	r.mu.Lock()
@@ -170,9 +179,13 @@
 	if !ok {
 		fault = faults[netip.AddrPort{}]
 	}
+	drop := fault.Cut || fault.Drop > 0 && rand.Float64() < fault.Drop
+	if drop {
+		r.dropped++
+	}
 	r.mu.Unlock()
 	switch {
-	case fault.Cut, fault.Drop > 0 && rand.Float64() < fault.Drop:
+	case drop:
 	case fault.Delay > 0:
 		held := append([]byte(nil), packet...)
 		time.AfterFunc(fault.Delay, func() { send(held) })
--- a/integration/quarantine_test.go
+++ b/integration/quarantine_test.go
@@ -114,6 +114,7 @@
 
 func (q quarantineRound) run(t *testing.T, f *harness.Fleet, r *rand.Rand, prompt string) int {
 	t.Helper()
+	dropped := droppedPackets(f)
 	if q.cut {
 		cutEntryLink(t, f, r)
 	}
@@ -133,9 +134,21 @@
 		})
 	}
 	group.Wait()
+	if q.cut && droppedPackets(f) == dropped {
+		t.Errorf("%s: the cut dropped no packet", q.name)
+	}
 	return crashed(f)
 }
 
+// droppedPackets counts the packets that cuts between entry VMs dropped.
+func droppedPackets(f *harness.Fleet) int {
+	n := 0
+	for _, e := range f.Entries {
+		n += e.Relay.Dropped()
+	}
+	return n
+}
+
 // cutEntryLink cuts the link between two entry VMs in both directions.
 func cutEntryLink(t *testing.T, f *harness.Fleet, r *rand.Rand) {
 	t.Helper()
