entry: show suspected and quarantined requests in the status

Cause: /admin/v1/status and the status command did not show that requests are quarantined, so operators had to ask for the list of each entry.

Ruled out: the whole list in the status, which can have 4096 items.

Change: the status of an entry counts both; the command shows plain values as columns by itself. The quarantine schedule compares the count with the list at every entry.

--- a/integration/quarantine_test.go
+++ b/integration/quarantine_test.go
@@ -53,6 +53,21 @@
 	return out
 }
 
+// checkStatus checks that the status of an entry VM counts its quarantines.
+func checkStatus(t *testing.T, f *harness.Fleet, e *harness.Entry) {
+	t.Helper()
+	var status struct {
+		Quarantined *int `json:"quarantined"`
+	}
+	if err := f.Admin(t.Context(), http.MethodGet, e.Settings.AdminAddress, "/admin/v1/status", nil, &status); err != nil {
+		t.Error(err)
+		return
+	}
+	if want := len(quarantined(t, f, e)); status.Quarantined == nil || *status.Quarantined != want {
+		t.Errorf("the status of %s does not show its %d quarantines", e.Name, want)
+	}
+}
+
 // crashed counts the engines that a request ended.
 func crashed(f *harness.Fleet) int {
 	n := 0
@@ -244,6 +259,7 @@
 			}
 			for _, e := range f.Entries {
 				seen += len(quarantined(t, f, e))
+				checkStatus(t, f, e)
 			}
 			healEngines(t, f)
 			at := r.IntN(len(f.Entries))
--- a/internal/entry/query/queries.go
+++ b/internal/entry/query/queries.go
@@ -85,12 +85,17 @@
 	PlatformAgeMs  int64                  `json:"platform_age_ms"`
 	Entries        int                    `json:"entries"`
 	Agents         int                    `json:"agents"`
+	// Suspected and Quarantined count fingerprints.
+	Suspected   int `json:"suspected"`
+	Quarantined int `json:"quarantined"`
 }
 
 // Status returns the state of the own process.
 func (q *Queries) Status() Status {
 	self := q.View.Self()
+	suspected, quarantined := q.Quarantine.Counts()
 	return Status{
+		Suspected: suspected, Quarantined: quarantined,
 		Process: self.Process, Start: self.Start, Zone: self.Zone,
 		UptimeSeconds: int64(time.Since(q.Started).Seconds()),
 		Ready:         q.Store.Ready(), Leaving: q.Leaving(), InFlight: q.InFlight(),
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -90,6 +90,20 @@
 	return Quarantined
 }
 
+// Counts returns how many fingerprints are suspects and how many are
+// quarantined.
+func (r *Registry) Counts() (suspected, quarantined int) {
+	for _, s := range r.List() {
+		switch n := len(s.Crashes); {
+		case n >= quarantineCrashes:
+			quarantined++
+		case n > 0:
+			suspected++
+		}
+	}
+	return suspected, quarantined
+}
+
 // Proven reports whether a request with the fingerprint ran to its end here
 // lately and no server has ended during one since.
 func (r *Registry) Proven(fingerprint uint64) bool {
