--- a/integration/harness/client.go
+++ b/integration/harness/client.go
@@ -410,3 +410,14 @@
 	}
 	return request{method: s.Method, path: "/v1/services/" + s.Service + s.Path, header: header, body: s.Body}
 }
+
+// Send makes one attempt with exactly the given headers beside the bearer key.
+// The end of ctx closes the connection; it is not sent as a deadline unless ctx
+// has one.
+func (c *Client) Send(ctx context.Context, method, path string, header http.Header, body []byte) Outcome {
+	var o Outcome
+	began := time.Now()
+	c.plain(ctx, request{method: method, path: path, header: header, body: body}, &o)
+	o.Duration = time.Since(began)
+	return o
+}
--- /dev/null
+++ b/integration/harness/filing.go
@@ -0,0 +1,122 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// FilingAnswer is what a caller was told by one attempt of a filing.
+type FilingAnswer struct {
+	Outcome
+	// Number is the attempt's Ticket-Attempt.
+	Number int
+	// Superseded tells that a later attempt of the ticket was sent before this
+	// answer arrived.
+	Superseded bool
+	// Connected is false if no entry VM got the attempt.
+	Connected bool
+}
+
+// Filing is one non-idempotent request to a plain service with one ticket. Its
+// attempts may overlap.
+type Filing struct {
+	ID      string
+	Service string
+	Account string
+	Ticket  string
+	Began   time.Time
+	Ended   time.Time
+
+	mu      sync.Mutex
+	sent    int
+	answers []FilingAnswer
+	open    sync.WaitGroup
+}
+
+// FilingPath is the path of filings below the service's name.
+const FilingPath = "/filings"
+
+// Entry returns a caller of one entry VM.
+func (f *Fleet) Entry(i int, account string) *Client {
+	c := f.Client(account)
+	c.addresses = []string{f.Entries[i].Settings.CallerAddress}
+	return c
+}
+
+// Attempt sends the filing through a client and returns a channel with the
+// answer. limit is the deadline that the entry VM is told, in whole
+// milliseconds; the end of ctx closes the connection.
+func (f *Filing) Attempt(ctx context.Context, c *Client, limit time.Duration) <-chan FilingAnswer {
+	f.mu.Lock()
+	f.sent++
+	number := f.sent
+	f.mu.Unlock()
+	body, _ := json.Marshal(map[string]string{"id": f.ID})
+	header := http.Header{"Content-Type": {"application/json"}, "Ticket": {f.Ticket}}
+	header.Set("Ticket-Attempt", strconv.Itoa(number))
+	header.Set("Request-Timeout-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	answered := make(chan FilingAnswer, 1)
+	f.open.Add(1)
+	go func() {
+		defer f.open.Done()
+		o := c.Send(ctx, http.MethodPost, "/v1/services/"+f.Service+FilingPath, header, body)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		a := FilingAnswer{Outcome: o, Number: number, Superseded: f.sent > number, Connected: o.Attempts[0].Sent}
+		f.answers = append(f.answers, a)
+		answered <- a
+	}()
+	return answered
+}
+
+// Answers waits for the open attempts and returns what the caller was told.
+func (f *Filing) Answers() []FilingAnswer {
+	f.open.Wait()
+	return f.answers
+}
+
+// Spent tells that the answer vouches for the ticket's agent: the ticket did
+// not run and never will.
+func (a FilingAnswer) Spent() bool { return a.Attempts[0].TicketSpent }
+
+// Told returns the verdict that the caller may conclude from its answers. A
+// not_run that does not spend the ticket speaks only of the attempts up to its
+// own, so it counts only for a first attempt that no other one followed.
+func (f *Filing) Told() verdict.Verdict {
+	told := verdict.NotRun
+	for _, a := range f.Answers() {
+		switch {
+		case a.Verdict == verdict.Completed:
+			return verdict.Completed
+		case a.Status != 0 && a.Verdict == verdict.NotRun && a.Spent():
+			return verdict.NotRun
+		case !a.Connected || a.Verdict == verdict.NotRun && a.Number == 1 && !a.Superseded:
+		default:
+			told = verdict.MayHaveRun
+		}
+	}
+	return told
+}
+
+// SetLink sets the faults between an entry VM and an agent, whichever of them
+// dialed. It needs UDPFaults.
+func (f *Fleet) SetLink(e *Entry, a *Agent, toAgent, toEntry LinkFault) {
+	_ = a.Relay.SetFaultsFor(e.Settings.PeerAddress, toAgent, toEntry)
+	_ = e.Relay.SetFaultsFor(a.Settings.PeerAddress, toEntry, toAgent)
+}
+
+// Heal ends the link faults of the whole fleet.
+func (f *Fleet) Heal() {
+	for _, e := range f.Entries {
+		e.Relay.Heal()
+	}
+	for _, a := range f.Agents {
+		a.Relay.Heal()
+	}
+}
