entry: believe Ticket-Attempt: 1 only of a young call in a process that ran

Cause: an entry VM refused a first attempt with not_run when the ticket's agent had restarted or could not be reached, however old the attempt was. A caller that had timed out could by then have run the ticket through another entry VM: the first attempt sat in a frozen entry VM, or waited for a link. Ruled out: asking the agent, which is gone or out of reach; dropping the statement altogether, which would make every refusal of a new ticket uncertain. Change: the statement counts for 1 s after the call was read, by the monotonic or the wall clock, and not within 2 s of a pause of more than 250 ms, because calls wait in socket buffers meanwhile. While it counts, the wait for a link is 500 ms, so that a first attempt is refused while not_run is still certain and the caller can take a ticket for another agent. Conclusion: fixed for callers that leave a second between overlapping attempts. Other callers must ignore a not_run without ticket_spent to an attempt that they followed by another.

--- a/internal/entry/command/commands.go
+++ b/internal/entry/command/commands.go
@@ -63,6 +63,9 @@
 	Tickets    *ticket.File
 	Recorder   *events.Recorder
 	Usage      *usage.Usage
+	// Paused reports whether the process was stopped a short time ago. Nil
+	// means never.
+	Paused func() bool
 	// TicketLifetime is how long a ticket can be used.
 	TicketLifetime time.Duration
 	// StreamBufferBytes bounds the text that a slow caller has not read yet.
--- a/internal/entry/command/once_test.go
+++ b/internal/entry/command/once_test.go
@@ -132,7 +132,7 @@
 			call := filing
 			call.Ticket = text
 			is.Equal(commands.CallService(context.Background(), newCall(time.Second), call, &recordedAnswer{}).Verdict, verdict.MayHaveRun)
-			call.FirstUse = true
+			call.FirstUse = FirstUse{Stated: true, Received: time.Now()}
 			is.Equal(commands.CallService(context.Background(), newCall(time.Second), call, &recordedAnswer{}).Verdict, verdict.NotRun)
 			is.Equal(len(a.submits()), 0)
 		})
@@ -170,7 +170,13 @@
 	call := filing
 	call.Ticket = text
 	is.Equal(commands.CallService(context.Background(), newCall(50*time.Millisecond), call, &recordedAnswer{}).Verdict, verdict.MayHaveRun)
-	call.FirstUse = true
+	call.FirstUse = FirstUse{Stated: true, Received: time.Now()}
 	is.Equal(commands.CallService(context.Background(), newCall(50*time.Millisecond), call, &recordedAnswer{}).Verdict, verdict.NotRun)
+	// An old first attempt, or one that waited while the process was stopped, may
+	// have been followed by another that ran.
+	call.FirstUse.Received = time.Now().Add(-firstUseTrust)
+	is.Equal(commands.CallService(context.Background(), newCall(50*time.Millisecond), call, &recordedAnswer{}).Verdict, verdict.MayHaveRun)
+	call.FirstUse = FirstUse{Stated: true, Received: time.Now(), Paused: func() bool { return true }}
+	is.Equal(commands.CallService(context.Background(), newCall(50*time.Millisecond), call, &recordedAnswer{}).Verdict, verdict.MayHaveRun)
 	is.Equal(len(other.submits()), 0)
 }
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -14,9 +14,8 @@
 type ServiceCall struct {
 	Service wire.Service
 	// Ticket is the caller's ticket; empty if it sent none.
-	Ticket string
-	// FirstUse tells that the caller states Ticket-Attempt: 1.
-	FirstUse       bool
+	Ticket         string
+	FirstUse       FirstUse
 	IdempotencyKey string
 }
 
--- a/internal/entry/command/tickets.go
+++ b/internal/entry/command/tickets.go
@@ -80,7 +80,7 @@
 	// Every repeat of a ticket carries the ticket's request id.
 	call := *a.call
 	call.ID = t.Request
-	stream, start, err := c.waitOpen(ctx, t.Agent)
+	stream, start, err := c.openForTicket(ctx, t, s)
 	if err != nil {
 		return c.refuseTicket(a.call, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonLinkLost, "the ticket's agent %s cannot be reached", t.Agent), s)
 	}
@@ -93,7 +93,7 @@
 	x.server = c.serverStart(t.Agent)
 	x.ended = c.Router.Sent(t.Agent, a.query)
 	attempt := uint32(2)
-	if s.FirstUse {
+	if s.FirstUse.Holds() {
 		attempt = 1
 	}
 	bound := *a
@@ -101,6 +101,19 @@
 	return c.submitOnce(ctx, &bound, x, s, s.Ticket, attempt, sink)
 }
 
+// openForTicket opens a stream to the ticket's agent. A first use is refused
+// early, while not_run is still certain: the caller can then take a new ticket
+// for an agent that is reached.
+func (c *Commands) openForTicket(ctx context.Context, t ticket.Token, s ServiceCall) (Stream, fleet.StartID, error) {
+	bounded := ctx
+	if s.FirstUse.Holds() {
+		var cancel context.CancelFunc
+		bounded, cancel = context.WithTimeout(ctx, firstUseWait)
+		defer cancel()
+	}
+	return c.waitOpen(bounded, t.Agent)
+}
+
 func (c *Commands) serverStart(agent fleet.ProcessID) string {
 	a, _ := c.View.Agent(agent)
 	return a.Report.ServerStart
@@ -122,7 +135,7 @@
 }
 
 func (c *Commands) refuseTicket(call *Call, e *verdict.Error, s ServiceCall) *verdict.Error {
-	e = TicketRefusal(e, s.FirstUse)
+	e = TicketRefusal(e, s.FirstUse.Holds())
 	c.Recorder.Record("ticket.refused", call.ID, events.F("reason", e.Reason), events.F("verdict", e.Verdict), events.F("account", call.Account.ID))
 	return e
 }
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -36,6 +36,7 @@
 	recorder *events.Recorder
 	usage    *usage.Usage
 	leaving  func() bool
+	paused   func() bool
 	api      http.Handler
 	services http.Handler
 	inFlight atomic.Int64
@@ -50,7 +51,7 @@
 	call     *command.Call
 	body     []byte
 	ticketed bool
-	firstUse bool
+	firstUse command.FirstUse
 }
 
 type requestKey struct{}
@@ -66,7 +67,7 @@
 	if !q.ticketed {
 		return e
 	}
-	return command.TicketRefusal(e, q.firstUse)
+	return command.TicketRefusal(e, q.firstUse.Holds())
 }
 
 // ServeHTTP checks and passes on one request.
@@ -74,7 +75,7 @@
 	q := &request{id: fleet.NewRequestID(), writer: w, received: time.Now()}
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
 		q.ticketed = len(r.Header.Values("Ticket")) > 0
-		q.firstUse = r.Header.Get("Ticket-Attempt") == "1"
+		q.firstUse = command.FirstUse{Stated: r.Header.Get("Ticket-Attempt") == "1", Received: q.received, Paused: g.paused}
 	}
 	w.Header().Set("Request-Id", string(q.id))
 	if g.leaving() {
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -49,6 +49,7 @@
 	listener net.Listener
 	server   *http.Server
 	admin    *adminhttp.Server
+	pauses   pauses
 
 	leaveOnce sync.Once
 	leaving   chan struct{}
@@ -126,7 +127,7 @@
 		View: p.view, Links: command.ManagedLinks(p.links), Router: routing.NewRouter(routing.Scored, p.self.Zone),
 		Budget: retry.NewBudget(p.config.RetryRatio), Quarantine: p.registry, Store: p.store, Tickets: p.tickets,
 		Recorder: p.recorder, Usage: counts, TicketLifetime: time.Duration(p.config.TicketLifetime),
-		StreamBufferBytes: p.config.Limits.StreamBufferBytes,
+		StreamBufferBytes: p.config.Limits.StreamBufferBytes, Paused: p.pauses.recent,
 	}
 	p.queries = &query.Queries{
 		View: p.view, Store: p.store, Quarantine: p.registry, Usage: counts,
@@ -144,7 +145,7 @@
 
 // newGate returns the handler of the callers' listener.
 func newGate(c settings.EntryConfig, commands *command.Commands, queries *query.Queries) *gate {
-	g := &gate{config: c, store: commands.Store, recorder: commands.Recorder, usage: commands.Usage, leaving: queries.Leaving}
+	g := &gate{config: c, store: commands.Store, recorder: commands.Recorder, usage: commands.Usage, leaving: queries.Leaving, paused: commands.Paused}
 	api := &callersAPI{gate: g, commands: commands, queries: queries, config: c}
 	g.api, g.services = api.handler(), http.HandlerFunc(api.serveService)
 	return g
