ledger: answer for expired tickets while all records are kept

Cause: a ticket that expired unused was answered may_have_run unless its caller stated the first attempt. And a first attempt that arrived after the record of a later one was dropped was answered not_run although the ticket had run. Ruled out: believing the statement at the agent, which cannot see how long the attempt was held up. Change: every record stays a minute beyond its ticket's expiry. Until then an expired ticket without a record is not_run whatever the attempt; after that it is may_have_run, also for a first attempt. Conclusion: the answer is certain for a minute after expiry. A caller that first uses a ticket later than that loses the certainty.

--- a/integration/once_points_test.go
+++ b/integration/once_points_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/coltsfootbay/coltsfootbay/integration/harness"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/tomlfile"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
@@ -322,3 +324,21 @@
 	}
 	proved(t, "once_views_and_keys", "filings", 6, "keys_with_two_tickets", 5)
 }
+
+// Guards against an uncertain answer for a ticket that expired unused, and
+// against a run on it.
+func TestOnceExpiredTicketIsCertain(t *testing.T) {
+	is := is.New(t)
+	f := onceFleet(t, 2, 1, 16, func(c *settings.EntryConfig) { c.TicketLifetime = tomlfile.Duration(time.Second) })
+	b := &onceBench{t: t, fleet: f, agent: f.Agents[0]}
+	unused, used := b.filingAt(1, "expired-unused"), b.filingAt(1, "expired-used")
+	is.Equal((<-b.send(used, 0, onceLimit)).Verdict, verdict.Completed)
+	time.Sleep(1500 * time.Millisecond)
+	for range 2 {
+		is.Equal((<-b.send(unused, 0, onceLimit)).Verdict, verdict.NotRun)
+		is.Equal((<-b.send(used, 1, onceLimit)).Verdict, verdict.Completed)
+	}
+	b.check(unused, 0)
+	b.check(used, 1)
+	proved(t, "once_expired_ticket", "tickets", 2)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -17,6 +17,11 @@
 	// finishedRetention keeps a finished run for the default ticket lifetime
 	// after its end, because a run can outlast its ticket.
 	finishedRetention = time.Minute
+	// expiredRetention keeps every record after its ticket's expiry, so that an
+	// expired ticket without a record is known not to have run. After that time
+	// nothing is known, whatever the caller states: its first attempt may have
+	// been held up while a later one ran.
+	expiredRetention = time.Minute
 	// sweepInterval bounds how often expired records are searched for.
 	sweepInterval = time.Second
 )
@@ -170,31 +175,34 @@
 	}
 	if l.check(t, false) == nil {
 		l.records[t.Request] = r
-		r.expires = max(r.expires, expiry(t))
+		r.expires = max(r.expires, expiry(t)+expiredRetention)
 	}
 	return r
 }
 
-// check says why an unseen ticket cannot run. Without a record an earlier
-// delivery is possible, unless the caller states that there was none.
+// check says why an unseen ticket cannot run. A ticket of another start may
+// have run there, unless the caller states that it was never sent before.
 func (l *Ledger) check(t ticket.Token, first bool) *verdict.Error {
 	var e *verdict.Error
+	now := l.options.Uptime()
+	notRun := first
 	switch {
 	case t.Agent != l.options.Agent || t.Start != l.options.Start:
 		e = verdict.Refuse(http.StatusConflict, verdict.ReasonOtherStart, "the ticket names another start of an agent")
-	case l.options.Uptime() >= expiry(t):
+	case now >= expiry(t):
+		notRun = now < expiry(t)+expiredRetention
 		e = verdict.Refuse(http.StatusConflict, verdict.ReasonTicketExpired, "the ticket has expired")
 	default:
 		return nil
 	}
-	if !first {
+	if !notRun {
 		e.Verdict = verdict.MayHaveRun
 	}
 	return Spending(e)
 }
 
 func (l *Ledger) add(t ticket.Token) *record {
-	r := &record{account: t.Account, run: NewRun(), expires: expiry(t)}
+	r := &record{account: t.Account, run: NewRun(), expires: expiry(t) + expiredRetention}
 	l.records[t.Request] = r
 	if t.KeyHash != 0 {
 		l.keys[keyIndex{t.Account, t.KeyHash}] = r
