entry: refuse ticket headers that can be read in two ways

Cause: with two Ticket headers the first one was used, and a Ticket-Attempt that is no number, zero or given twice was read as a first or later attempt. Change: one Ticket, and at most one Ticket-Attempt that is a number from 1; otherwise 400. Only a single value of exactly 1 states a first use.

--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -75,7 +76,7 @@
 	q := &request{id: fleet.NewRequestID(), writer: w, received: time.Now()}
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
 		q.ticketed = len(r.Header.Values("Ticket")) > 0
-		q.firstUse = command.FirstUse{Stated: r.Header.Get("Ticket-Attempt") == "1", Received: q.received, Paused: g.paused}
+		q.firstUse = command.FirstUse{Stated: slices.Equal(r.Header.Values("Ticket-Attempt"), []string{"1"}), Received: q.received, Paused: g.paused}
 	}
 	w.Header().Set("Request-Id", string(q.id))
 	if g.leaving() {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/entry/command"
@@ -58,10 +59,26 @@
 		},
 		Ticket: r.Header.Get("Ticket"), FirstUse: q.firstUse, IdempotencyKey: r.Header.Get("Idempotency-Key"),
 	}
-	if q.ticketed && call.Ticket == "" {
-		return call, verdict.Refuse(http.StatusBadRequest, verdict.ReasonTicketInvalid, "Ticket is empty")
+	return call, checkTicketHeaders(q, r.Header)
+}
+
+// checkTicketHeaders refuses headers that could be read in two ways.
+func checkTicketHeaders(q *request, h http.Header) *verdict.Error {
+	attempts := h.Values("Ticket-Attempt")
+	switch {
+	case !q.ticketed:
+		return nil
+	case len(h.Values("Ticket")) > 1 || h.Get("Ticket") == "":
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonTicketInvalid, "Ticket must have one value")
+	case len(attempts) > 1:
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "Ticket-Attempt must have one value")
+	case len(attempts) == 0:
+		return nil
+	}
+	if n, err := strconv.ParseUint(attempts[0], 10, 32); err != nil || n == 0 {
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "Ticket-Attempt %q is not a number from 1", attempts[0])
 	}
-	return call, nil
+	return nil
 }
 
 func contentHeaders(h http.Header) []wire.Header {
