--- a/integration/once_points_test.go
+++ b/integration/once_points_test.go
@@ -29,7 +29,6 @@
 	t     *testing.T
 	fleet *harness.Fleet
 	agent *harness.Agent
-	next  int
 }
 
 func newOnceBench(t *testing.T, slots int) *onceBench {
