--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	recorder *events.Recorder
 	usage    *usage.Usage
 	leaving  func() bool
+	paused   func() bool
 	api      http.Handler
 	services http.Handler
 	inFlight atomic.Int64
@@ -50,7 +52,7 @@
 	call     *command.Call
 	body     []byte
 	ticketed bool
-	firstUse bool
+	firstUse command.FirstUse
 }
 
 type requestKey struct{}
@@ -66,7 +68,7 @@
 	if !q.ticketed {
 		return e
 	}
-	return command.TicketRefusal(e, q.firstUse)
+	return command.TicketRefusal(e, q.firstUse.Holds())
 }
 
 // ServeHTTP checks and passes on one request.
@@ -74,7 +76,7 @@
 	q := &request{id: fleet.NewRequestID(), writer: w, received: time.Now()}
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
 		q.ticketed = len(r.Header.Values("Ticket")) > 0
-		q.firstUse = r.Header.Get("Ticket-Attempt") == "1"
+		q.firstUse = command.FirstUse{Stated: slices.Equal(r.Header.Values("Ticket-Attempt"), []string{"1"}), Received: q.received, Paused: g.paused}
 	}
 	w.Header().Set("Request-Id", string(q.id))
 	if g.leaving() {
