entry: serve 1 s beyond the address lifetime when leaving

Cause: a leaving entry VM counted the address lifetime from its own notice. A peer that learns later names it in answers until then, and a caller that keeps such an answer for its lifetime met a closed listener.

Ruled out: the callers' own timing.

Change: a leaving entry VM serves for the address lifetime and 1 s more, which is one heartbeat.

Not covered: fleets of more than 12 entry VMs, where the notice travels by gossip and may take longer than 1 s.

--- a/integration/harness/client.go
+++ b/integration/harness/client.go
@@ -141,13 +141,7 @@
 			last = fmt.Errorf("address query: %d addresses: %w", len(answer), err)
 			continue
 		}
-		var addresses []string
-		for _, a := range answer {
-			addresses = append(addresses, a.Address)
-		}
-		c.mu.Lock()
-		c.addresses = addresses
-		c.mu.Unlock()
+		c.use(answer)
 		return nil
 	}
 	return last
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -7,6 +7,12 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 )
 
+// noticeMargin is the time in which linked peers learn that this process is
+// leaving: a notice that was lost comes again with the next heartbeat, after
+// 1 s. Until then they name it in address answers, which callers then keep for
+// a whole lifetime.
+const noticeMargin = time.Second
+
 // drain begins a graceful shutdown and returns at once. Nothing reverts it.
 func (p *process) drain() { p.leaveOnce.Do(func() { close(p.leaving) }) }
 
@@ -32,7 +38,7 @@
 	p.view.SetLeaving()
 	p.links.Push()
 	select {
-	case <-time.After(time.Duration(p.config.AddressLifetime)):
+	case <-time.After(time.Duration(p.config.AddressLifetime) + noticeMargin):
 	case <-ctx.Done():
 		return
 	}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -86,8 +86,9 @@
 	// Seeds are peer addresses to ask first after a start. Default empty: only
 	// the platform's VM list leads to peers.
 	Seeds []string `toml:"seeds"`
-	// AddressLifetime is how long callers may keep an address answer, and how
-	// long a leaving process goes on serving. Default "10s", range 1s to 10m.
+	// AddressLifetime is how long callers may keep an address answer. A leaving
+	// process goes on serving for this time and 1s more. Default "10s", range
+	// 1s to 10m.
 	AddressLifetime tomlfile.Duration `toml:"address_lifetime"`
 	// TicketLifetime is how long a ticket can be used. Default "60s", range 1s
 	// to 1h. Leaving agents stay for at most this time.
