agent: count a request's time on the way against its deadline

Cause: an entry VM sends the time that the caller still waits, and the agent counted it from the arrival. A request that was late on the way began at the server although its caller's deadline had passed.

Ruled out: wall clocks and the hybrid logical clock, which runs ahead of the sender's clock after a message of a process whose clock is ahead. The Cancel that follows a Submit at the deadline does not help, because it is as late.

Change: Submit also carries the deadline as the agent's uptime, which the entry VM knows from the agent's reports, as for the expiry of tickets. The agent uses the earlier of the two. The estimate lags by the time the report took, so a late report makes the deadline earlier, never later.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -75,6 +75,7 @@
 func (a *agent) serveCall(c *call, m wire.Message) {
 	switch m := m.(type) {
 	case *wire.Submit:
+		m.Deadline = a.remaining(m)
 		a.submit(c, m)
 	case *wire.Attach:
 		a.attach(c, m)
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -217,6 +217,16 @@
 	return m.Completion.NextPart
 }
 
+// remaining returns the milliseconds until the deadline of a request. The
+// number in the message does not count the time on the way and in the socket
+// of a paused process; the agent's uptime does.
+func (a *agent) remaining(m *wire.Submit) int64 {
+	if m.DeadlineUptime == 0 {
+		return m.Deadline
+	}
+	return min(m.Deadline, m.DeadlineUptime-a.uptime().Milliseconds())
+}
+
 // deadlineFrom returns the end of a wait in milliseconds on the monotonic
 // clock.
 func deadlineFrom(milliseconds int64) time.Time {
--- a/internal/entry/command/attempts.go
+++ b/internal/entry/command/attempts.go
@@ -60,10 +60,20 @@
 	}
 	x := newExchange(ctx, s, agent.Hello.Process, start, cancel)
 	x.server = agent.Report.ServerStart
+	x.deadlineUptime = a.deadlineUptime(agent, start)
 	x.ended = a.commands.Router.Sent(agent.Hello.Process, a.query)
 	return x, nil
 }
 
+// deadlineUptime returns the deadline as the agent's uptime in milliseconds.
+// It is zero without a report of the given start, whose uptime is not known.
+func (a *attempts) deadlineUptime(agent member.Agent, start fleet.StartID) int64 {
+	if agent.Report.Sequence == 0 || agent.Hello.Start != start {
+		return 0
+	}
+	return agent.Uptime() + a.call.remaining()
+}
+
 // failed turns the end of a sent attempt into a verdict. A lost link blames the
 // request, and the others know before this returns.
 func (a *attempts) failed(ctx context.Context, x *exchange, err error) *verdict.Error {
--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -136,7 +136,7 @@
 	defer x.close()
 	s.order.begin(max(s.order.attempt+1, s.count))
 	s.token = s.streamToken(x.agent, x.start)
-	if err := x.stream.Send(s.submitMessage()); err != nil {
+	if err := x.stream.Send(s.submitMessage(x)); err != nil {
 		return nil, s.failed(ctx, x, errLost)
 	}
 	end, err := s.relay(x)
@@ -167,10 +167,10 @@
 	return nil, s.failed(ctx, x, err)
 }
 
-func (s *completion) submitMessage() *wire.Submit {
+func (s *completion) submitMessage(x *exchange) *wire.Submit {
 	return &wire.Submit{
 		Request: s.call.ID, Attempt: s.order.attempt, Account: s.call.Account.ID, Rank: s.call.Rank,
-		Deadline: s.call.remaining(), Fingerprint: s.call.Fingerprint,
+		Deadline: s.call.remaining(), DeadlineUptime: x.deadlineUptime, Fingerprint: s.call.Fingerprint,
 		Completion: &wire.Completion{
 			Model: s.request.Model, Adapter: s.request.Adapter, Prompt: s.request.Prompt,
 			// The engine counts only new tokens after the text so far.
--- a/internal/entry/command/exchange.go
+++ b/internal/entry/command/exchange.go
@@ -30,8 +30,11 @@
 	start  fleet.StartID
 	// server is the backend server's start when the request was sent.
 	server string
-	ended  func()
-	stop   func() bool
+	// deadlineUptime is the deadline as the agent's uptime in milliseconds; zero
+	// if it is not known.
+	deadlineUptime int64
+	ended          func()
+	stop           func() bool
 	// cancel tells that an abandoned run is to be canceled; final tells that
 	// the agent sends no more.
 	cancel bool
--- a/internal/entry/command/tickets.go
+++ b/internal/entry/command/tickets.go
@@ -90,7 +90,9 @@
 	}
 	c.Recorder.Record("request.routed", a.call.ID, events.F("agent", t.Agent), events.F("ticket", t.Request))
 	x := newExchange(ctx, stream, t.Agent, start, false)
-	x.server = c.serverStart(t.Agent)
+	agent, _ := c.View.Agent(t.Agent)
+	x.server = agent.Report.ServerStart
+	x.deadlineUptime = a.deadlineUptime(agent, start)
 	x.ended = c.Router.Sent(t.Agent, a.query)
 	attempt := uint32(2)
 	if s.FirstUse {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -167,6 +167,10 @@
 	Fingerprint uint64      `cbor:"7,keyasint"`
 	Completion  *Completion `cbor:"8,keyasint,omitempty"`
 	Service     *Service    `cbor:"9,keyasint,omitempty"`
+	// DeadlineUptime is the same deadline as the agent's uptime in
+	// milliseconds, so that the time on the way counts. Zero if the sender has
+	// no report of the agent's start.
+	DeadlineUptime int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Completion is a request to a model engine.
