integration: keep ports and tickets over planned stops

Cause: two faults of the tests. The harness took ports from the kernel's range for outgoing connections, so a connection could take the port of a process that was not started yet; with three test runs side by side one of 6 runs ended with "bind: address already in use". And no caller kept a ticket before using it.

Change: ports come from 15000 to 32000. Ten callers of the rolling replacement keep each ticket for 400 ms of its life of 1 s.

Ruled out: a longer stay of a leaving agent for tickets from an entry VM that learns late. The uptime from which the entry VM computes the expiry lags by the same delay, so the ticket expires first.

--- a/integration/harness/load.go
+++ b/integration/harness/load.go
@@ -45,6 +45,10 @@
 	// Holders is the number of callers that use each address of an answer once
 	// at the end of its lifetime, half of them on a connection that they keep.
 	Holders int
+	// TicketHolders is the number of callers that keep a ticket of Service for
+	// TicketHold before they use it.
+	TicketHolders int
+	TicketHold    time.Duration
 }
 
 // LoadCounts is what the callers of a Load saw.
@@ -95,6 +99,9 @@
 	for i := range o.Holders {
 		l.group.Go(func() { l.holder(ctx, i%2 == 0) })
 	}
+	for range o.TicketHolders {
+		l.group.Go(func() { l.ticketHolder(ctx) })
+	}
 	return l
 }
 
@@ -165,9 +172,15 @@
 func (c *loadCaller) one(call func(context.Context, *Client) Outcome) {
 	ctx, cancel := context.WithTimeout(context.Background(), loadCallTimeout)
 	defer cancel()
-	l := c.load
 	c.renew()
 	first := call(ctx, c.client)
+	c.judge(ctx, first, call)
+}
+
+// judge checks the outcome of a first try and makes the next try after a
+// refusal that allows it.
+func (c *loadCaller) judge(ctx context.Context, first Outcome, call func(context.Context, *Client) Outcome) {
+	l := c.load
 	l.mu.Lock()
 	l.counts.Calls++
 	l.mu.Unlock()
@@ -219,11 +232,9 @@
 // is never used again.
 func (l *Load) post(ticketed bool) func(context.Context, *Client) Outcome {
 	return func(ctx context.Context, c *Client) Outcome {
-		id := fmt.Sprintf("load-%d", l.number.Add(1))
-		o := c.CallService(ctx, ServiceCall{
-			Service: l.options.Service, Method: http.MethodPost, Path: "/filings", ContentType: "application/json",
-			Body: fmt.Appendf(nil, `{"id":%q}`, id), Ticketed: ticketed, MaxAttempts: 1,
-		})
+		id, call := l.filing()
+		call.Ticketed = ticketed
+		o := c.CallService(ctx, call)
 		if o.Complete {
 			l.mu.Lock()
 			l.counts.Filings = append(l.counts.Filings, id)
@@ -233,6 +244,40 @@
 	}
 }
 
+// filing returns a POST call with an identifier of its own.
+func (l *Load) filing() (id string, call ServiceCall) {
+	id = fmt.Sprintf("load-%d", l.number.Add(1))
+	return id, ServiceCall{
+		Service: l.options.Service, Method: http.MethodPost, Path: "/filings", ContentType: "application/json",
+		Body: fmt.Appendf(nil, `{"id":%q}`, id), MaxAttempts: 1,
+	}
+}
+
+// ticketHolder uses each ticket late, and after a refusal a new ticket at once.
+func (l *Load) ticketHolder(ctx context.Context) {
+	c := &loadCaller{load: l, client: l.fleet.Client(l.options.Account)}
+	defer c.client.http.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.renew()
+		c.oneHeld()
+	}
+}
+
+func (c *loadCaller) oneHeld() {
+	ctx, cancel := context.WithTimeout(context.Background(), loadCallTimeout)
+	defer cancel()
+	l := c.load
+	ticket, o := c.client.Ticket(ctx, l.options.Service, "")
+	if ticket != "" {
+		time.Sleep(l.options.TicketHold)
+		c.renew()
+		_, call := l.filing()
+		o = Outcome{}
+		c.client.plain(ctx, call.request(ticket, 1), &o)
+	}
+	c.judge(ctx, o, l.post(true))
+}
+
 // holder takes address answers and uses each address at the end of the
 // answer's lifetime.
 func (l *Load) holder(ctx context.Context, kept bool) {
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -183,44 +184,48 @@
 	return fmt.Errorf("process %s does not listen on %s after %s:\n%s", p.Name, address, timeout, p.Log())
 }
 
-// ports hands out free loopback ports and never the same one twice, because the
-// kernel may offer a port again before its process has bound it.
+// Ports come from below the kernel's usual range for outgoing connections,
+// 32768 and above: such a connection took the port of a process that was not
+// started yet or was being replaced.
+const (
+	lowestPort  = 15000
+	highestPort = 32000
+)
+
+// ports hands out free loopback ports and never the same one twice, because a
+// port is free until its process has bound it.
 type ports struct{ used map[int]bool }
 
 var errNoPort = errors.New("found no free port")
 
 func (p *ports) tcp() (string, error) {
-	return p.pick(func() (int, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	return p.pick(func(address string) error {
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().(*net.TCPAddr).Port, nil
+		return l.Close()
 	})
 }
 
 func (p *ports) udp() (string, error) {
-	return p.pick(func() (int, error) {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return p.pick(func(address string) error {
+		c, err := net.ListenPacket("udp", address)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().(*net.UDPAddr).Port, nil
+		return c.Close()
 	})
 }
 
-func (p *ports) pick(probe func() (int, error)) (string, error) {
+func (p *ports) pick(probe func(address string) error) (string, error) {
 	const tries = 100
 	for range tries {
-		port, err := probe()
-		if err != nil {
-			return "", err
-		}
-		if !p.used[port] {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if !p.used[port] && probe(address) == nil {
 			p.used[port] = true
-			return fmt.Sprintf("127.0.0.1:%d", port), nil
+			return address, nil
 		}
 	}
 	return "", errNoPort
--- a/integration/stops_rolling_test.go
+++ b/integration/stops_rolling_test.go
@@ -16,6 +16,9 @@
 	// replaceGap is the time without a process under the name. A new process
 	// that listens at once would hide requests that come too late.
 	replaceGap = 200 * time.Millisecond
+	// ticketHold is how long some callers keep a ticket, whose life is
+	// stopsLifetime.
+	ticketHold = 400 * time.Millisecond
 )
 
 func readyz(admin string) (int, string) {
@@ -33,7 +36,10 @@
 // every process is replaced in turn under load, and no call may fail.
 func TestStopsRollingReplacement(t *testing.T) {
 	f := startFleet(t, stopsOptions(3, 2, 2))
-	load := f.StartLoad(harness.LoadOptions{Account: stopsAccount, Model: stopsModel, Tokens: 60, Service: stopsService, Callers: 3, Holders: 4})
+	load := f.StartLoad(harness.LoadOptions{
+		Account: stopsAccount, Model: stopsModel, Tokens: 60, Service: stopsService, Callers: 3, Holders: 4,
+		TicketHolders: 10, TicketHold: ticketHold,
+	})
 	var entries, agents, notReady time.Duration
 	rounds, stops := amount(1, 5), 0
 	for range rounds {
