entry: count a stop of the process against callers' deadlines

Cause: a caller states its deadline as milliseconds from now, and the entry VM counted them from the reading of the request. Requests that waited in the socket of a frozen entry VM began at servers after the wake, unless the entry VM saw first that the caller had closed its connection.

Ruled out: the detection of pauses that drops old reports. It takes stops above 2 s only and learns of them up to 0.5 s after the first requests are read.

Change: the entry VM notes each stop above 100 ms. The deadline of a request that is read at the wake or up to 1 s later counts from the stop's begin, so the agent refuses what has expired with not_run.

Not covered: a request that comes at the end of a stop is refused although it is in time, if the stop was longer than its deadline.

--- a/integration/retries_test.go
+++ b/integration/retries_test.go
@@ -121,8 +121,8 @@
 }
 
 // Guards against a request that begins at a server after its caller's deadline
-// because it was late on the way, waited in the agent's queue or was held by a
-// frozen agent.
+// because it was late on the way or waited in the socket of a frozen agent or
+// entry VM.
 func TestRetriesExpiredRequestNeverBegins(t *testing.T) {
 	o := stopsOptions(1, 1, 1)
 	o.UDPFaults = true
@@ -142,12 +142,14 @@
 		}, func() error { engine.Relay.Heal(); service.Relay.Heal(); return nil }},
 		{"frozen_agent", func() error { return firstError(engine.Freeze(), service.Freeze()) },
 			func() error { return firstError(engine.Wake(), service.Wake()) }},
+		{"frozen_entry", f.Entries[0].Freeze, f.Entries[0].Wake},
 	}
 	for _, cause := range causes {
-		before := begunRuns(t, f)
 		if err := cause.begin(); err != nil {
 			t.Fatal(err)
 		}
+		time.Sleep(freezeTime)
+		before := begunRuns(t, f)
 		notRun := expiredCalls(t, f)
 		time.Sleep(lateMessage)
 		if err := cause.end(); err != nil {
@@ -168,6 +170,9 @@
 	lateMessage     = 700 * time.Millisecond
 	expiredDeadline = 300 * time.Millisecond
 	expiredEach     = 10
+	// freezeTime is the time until SIGSTOP has stopped all threads of a process
+	// on a busy machine.
+	freezeTime = 100 * time.Millisecond
 )
 
 func firstError(errs ...error) error {
--- a/internal/entry/gate.go
+++ b/internal/entry/gate.go
@@ -39,6 +39,7 @@
 	api      http.Handler
 	services http.Handler
 	inFlight atomic.Int64
+	stops    stops
 }
 
 // request is what the gate knows about a request; handlers find it in the
@@ -175,8 +176,11 @@
 	return strings.TrimSpace(key), ok && strings.EqualFold(scheme, "Bearer")
 }
 
+// deadline counts from the time when the request may have come, so that what
+// expired while the process was stopped does not run.
 func (g *gate) deadline(header string) (time.Time, *verdict.Error) {
 	now := time.Now()
+	now = now.Add(-g.stops.waited(now))
 	if header == "" {
 		return now.Add(time.Duration(g.config.DefaultDeadline)), nil
 	}
--- a/internal/entry/pause.go
+++ b/internal/entry/pause.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,3 +37,67 @@
 func pauseOf(last, now time.Time) time.Duration {
 	return max(now.Sub(last), now.Round(0).Sub(last.Round(0))) - pauseTick
 }
+
+const (
+	stopTick = 50 * time.Millisecond
+	// stopThreshold is how late a tick must be to count. Taking a scheduling
+	// delay for a stop costs a request no more than that delay.
+	stopThreshold = 100 * time.Millisecond
+	// backlogTime is how long after a stop the requests that came during it may
+	// still be read.
+	backlogTime = time.Second
+)
+
+// stops tells for how long a request may have waited in its socket because the
+// process was stopped. Its zero value tells that it never was. It is safe for
+// concurrent use.
+type stops struct {
+	// tick is the last tick and late the last stop with its end.
+	tick atomic.Pointer[time.Time]
+	late atomic.Pointer[stop]
+}
+
+type stop struct {
+	lasted time.Duration
+	ended  time.Time
+}
+
+// run watches until ctx is done.
+func (s *stops) run(ctx context.Context) {
+	t := time.NewTicker(stopTick)
+	defer t.Stop()
+	for {
+		now := time.Now()
+		if lasted := s.since(now); lasted > stopThreshold {
+			s.late.Store(&stop{lasted: lasted, ended: now})
+		}
+		s.tick.Store(&now)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// since returns how late the next tick is.
+func (s *stops) since(now time.Time) time.Duration {
+	last := s.tick.Load()
+	if last == nil {
+		return 0
+	}
+	return max(now.Sub(*last), now.Round(0).Sub(last.Round(0))) - stopTick
+}
+
+// waited returns the longest time that a request which is read now may have
+// waited because of a stop.
+func (s *stops) waited(now time.Time) time.Duration {
+	var waited time.Duration
+	if d := s.since(now); d > stopThreshold {
+		waited = d
+	}
+	if l := s.late.Load(); l != nil && now.Sub(l.ended) < backlogTime {
+		waited = max(waited, l.lasted)
+	}
+	return waited
+}
