Heed the VM list's leaving state only when it concerns this start

Cause: a process that replaces a VM under the same name would leave at once while a lagging list still calls the old VM leaving (found by reading; the lists lag by up to 30 s). Ruled out: comparing addresses, since a replacement may have the same one. Before: the first list with the state ended the process.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -113,9 +113,10 @@
 
 // watchVMList starts leaving when the platform's VM list says so.
 func (a *agent) watchVMList(ctx context.Context) {
+	notice := config.NewLeaveNotice(a.process, a.started)
 	for {
 		changed := a.store.Changed()
-		if a.listedAsLeaving(a.store.VMs()) {
+		if notice.Leaving(a.store.VMs(), time.Now()) {
 			a.leave("vm_list")
 			return
 		}
@@ -128,15 +129,6 @@
 	}
 }
 
-func (a *agent) listedAsLeaving(vms []config.VM) bool {
-	for _, vm := range vms {
-		if vm.Name == a.process && vm.State == config.VMLeaving {
-			return true
-		}
-	}
-	return false
-}
-
 // sleep waits for d and returns false if ctx ended before.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
@@ -15,29 +16,25 @@
 	})
 }
 
+// vmListPoll is how often the VM list is looked at without a change.
+const vmListPoll = 5 * time.Second
+
 // feedVMs hands every new VM list to the member view and begins to leave when
 // the list says so.
 func (p *process) feedVMs(ctx context.Context) {
+	notice := config.NewLeaveNotice(p.self.Process, time.Now())
 	for {
 		changed := p.store.Changed()
 		vms := p.store.VMs()
 		p.view.SetVMs(vms)
-		if p.listedLeaving(vms) {
+		if notice.Leaving(vms, time.Now()) {
 			p.drain()
 		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-time.After(vmListPoll):
 		case <-changed:
 		}
 	}
 }
-
-func (p *process) listedLeaving(vms []config.VM) bool {
-	for _, vm := range vms {
-		if vm.Name == p.self.Process && vm.State == config.VMLeaving {
-			return true
-		}
-	}
-	return false
-}
