Send orders to engines from documents under leases

Nothing brought an engine to the model, version, adapters and role that operators want.

Change: documents engines/NAME say what the engine of an agent should hold. The agent's arbiter grants one lease at a time, gives every lease and order a number of its own above all that it and the engine have seen, has one outstanding order, checks the lease right before the first byte is written, and refuses what its own documents do not ask for. The controller runs in every entry VM; a rendezvous order of the entry VMs delays all but one. A report and a run's model check now use the model that the engine says it has.

Ruled out: one number per lease, because two orders of one lease could then change places at the engine. A first number of 1 after a restart, because an order of the former start that has not reached the engine would share its number; the numbers begin at the wall clock in milliseconds. An order by a controller with older documents under a newer lease, by the check at the agent.

An order of an agent's former start to an engine without checks_fencing must arrive within one lease; the agent cannot see it before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/link"
 	"github.com/coltsfootbay/coltsfootbay/internal/member"
 	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
+	"github.com/coltsfootbay/coltsfootbay/internal/orders"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/queue"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
@@ -57,6 +58,7 @@
 	queue    *queue.Queue
 	runs     *runTable
 	server   *server
+	orders   *orders.Arbiter
 	rate     rate
 	cache    prefixCache
 	sequence atomic.Uint64
@@ -101,6 +103,7 @@
 	a.meters = newMeters(a.metrics.Scope)
 	a.store = config.NewStore(a.recorder)
 	a.server = newServer(c.BackendServer)
+	a.orders = a.newArbiter()
 	a.ledger = ledger.New(ledger.Options{Agent: a.process, Start: a.start, Uptime: a.uptime, Bytes: c.LedgerBytes})
 	a.queue = queue.New(queue.Options{
 		Items:  c.Queue.Items,
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -80,6 +80,10 @@
 		a.attach(c, m)
 	case *wire.Resolve:
 		a.resolve(c, m)
+	case *wire.LeaseClaim:
+		a.claimLease(c, m)
+	case *wire.OrderRequest:
+		a.sendOrder(c, m)
 	default:
 		a.refuse(c, "", verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "unexpected message %T", m))
 	}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"errors"
 	"sync"
 	"time"
@@ -29,7 +30,8 @@
 		TokensPerSecond: a.rate.perSecond(),
 	}
 	if a.isModel() {
-		r.Model, r.Adapters = a.config.BackendServer.Name, s.adapters
+		r.Model, r.Adapters = a.servedModel(), s.held.Adapters
+		r.Version, r.Role = s.held.Version, s.held.Role
 		r.CachedPrefixes = a.cache.newest()
 	} else {
 		r.Service = a.config.BackendServer.Name
@@ -37,6 +39,12 @@
 	return r
 }
 
+// servedModel returns the model that the engine says it holds, which an order
+// can have changed, or else the one in the settings.
+func (a *agent) servedModel() string {
+	return cmp.Or(a.server.snapshot().held.Model, a.config.BackendServer.Name)
+}
+
 func (a *agent) isModel() bool { return a.config.BackendServer.Kind == settings.KindModel }
 
 func (a *agent) adminOptions() adminhttp.Options {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"reflect"
 	"sync"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 const (
@@ -27,15 +29,23 @@
 // health is a backend server's answer to GET /health.
 type health struct {
 	Start    json.RawMessage `json:"start"`
+	Model    string          `json:"model"`
+	Version  string          `json:"version"`
+	Role     string          `json:"role"`
 	Adapters []string        `json:"adapters"`
 	Slots    int             `json:"slots"`
 }
 
+func (h health) held() wire.EngineState {
+	return wire.EngineState{Model: h.Model, Version: h.Version, Role: h.Role, Adapters: h.Adapters}
+}
+
 type serverState struct {
-	up       bool
-	start    string
-	slots    int
-	adapters []string
+	up    bool
+	start string
+	slots int
+	// held is what a model engine says that it holds.
+	held wire.EngineState
 }
 
 // server is what the agent knows about its backend server.
@@ -91,6 +101,7 @@
 		a.probe(ctx, probeFailures)
 		a.rate.add(0, time.Now())
 		a.updateGauges()
+		a.orders.Tick()
 		if a.isModel() && a.server.snapshot().up {
 			a.readLoad(ctx)
 			a.readCacheEvents(ctx)
@@ -143,7 +154,7 @@
 		slots = min(slots, h.Slots)
 	}
 	s.failures, s.seen = 0, time.Now()
-	s.state = serverState{up: true, start: startText(h.Start), slots: slots, adapters: h.Adapters}
+	s.state = serverState{up: true, start: startText(h.Start), slots: slots, held: h.held()}
 	after := s.state
 	s.mu.Unlock()
 	restarted := before.start != "" && before.start != after.start
@@ -158,6 +169,9 @@
 		a.queue.SetSlots(after.slots)
 		a.notify()
 	}
+	if !reflect.DeepEqual(before.held, after.held) {
+		a.notify()
+	}
 }
 
 // forgetBlame notes that a start which was taken for crashed is running, so
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -149,7 +149,7 @@
 	switch {
 	case (m.Completion == nil) == (m.Service == nil) || m.Rank >= fleet.RankCount || m.Request == "":
 		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the request is malformed")
-	case m.Completion != nil && (!a.isModel() || m.Completion.Model != a.config.BackendServer.Name):
+	case m.Completion != nil && (!a.isModel() || m.Completion.Model != a.servedModel()):
 		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownModel, "the agent does not serve model %q", m.Completion.Model)
 	case m.Service != nil && (a.isModel() || m.Service.Name != a.config.BackendServer.Name):
 		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownService, "the agent does not serve service %q", m.Service.Name)
--- a/internal/dynamic/compute.go
+++ b/internal/dynamic/compute.go
@@ -23,6 +23,7 @@
 		b.add(d)
 	}
 	b.checkTemplates()
+	b.addEngines()
 	b.addAccounts()
 	b.scaleShares()
 	return b.effective
@@ -46,6 +47,7 @@
 	effective *Effective
 	adapters  map[string]bool
 	accounts  []wire.Document
+	engines   []wire.Document
 }
 
 func newBuilder() *builder {
@@ -71,6 +73,8 @@
 		b.addService(name, d)
 	case kindAccount:
 		b.accounts = append(b.accounts, d)
+	case kindEngine:
+		b.engines = append(b.engines, d)
 	}
 }
 
--- a/internal/dynamic/dynamic_test.go
+++ b/internal/dynamic/dynamic_test.go
@@ -57,6 +57,8 @@
 		{"accounts/a", "[[account]]\nid = \"x\"\ntemplate = \"t\"", "accounts/a:1: account[0]: key_sha256"},
 		{"accounts/a", accountBody("x", "k", "t") + accountBody("x", "l", "t"), "accounts/a:6: account[1].id: \"x\" occurs twice"},
 		{"services/s", "[[rule]]\nmethod = \"FETCH\"\npath_prefix = \"/\"", "services/s:2: rule[0].method"},
+		{"engines/e", "agent = \"a\"\nmodel = \"m\"\nrole = \"\"", "engines/e:3: role"},
+		{"engines/e", "model = \"m\"", "engines/e: agent"},
 		{"other/s", "", "is not a kind of document"},
 	}
 	for _, c := range cases {
--- a/internal/dynamic/effective.go
+++ b/internal/dynamic/effective.go
@@ -98,7 +98,9 @@
 	Templates map[string]*Template
 	Accounts  map[KeyHash]*Account
 	ByID      map[fleet.ClientAccount]*Account
-	Inactive  []Inactive
+	// Engines holds what the engine of each agent should hold.
+	Engines  map[fleet.ProcessID]Engine
+	Inactive []Inactive
 	// ShareScale is the factor that scales claimed shares; 1 when the claims
 	// fit the fleet.
 	ShareScale float64
--- a/internal/dynamic/schema.go
+++ b/internal/dynamic/schema.go
@@ -8,6 +8,7 @@
 	kindTemplate = "templates"
 	kindAccount  = "accounts"
 	kindService  = "services"
+	kindEngine   = "engines"
 )
 
 type modelSchema struct {
@@ -47,3 +48,11 @@
 type serviceSchema struct {
 	Rules []ruleSchema `toml:"rule"`
 }
+
+type engineSchema struct {
+	Agent    string   `toml:"agent"`
+	Model    string   `toml:"model"`
+	Version  string   `toml:"version"`
+	Adapters []string `toml:"adapters"`
+	Role     string   `toml:"role"`
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -41,6 +41,7 @@
 	group.Go(func() error { return p.admin.Run(running) })
 	group.Go(func() error { p.feedVMs(running); return nil })
 	group.Go(func() error { watchPauses(running, p.paused); return nil })
+	group.Go(func() error { p.newController().Run(running); return nil })
 	group.Go(p.serve)
 	group.Go(func() error {
 		p.leave(running)
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -28,6 +28,15 @@
 	// ChecksFencing tells that the engine refuses orders with an old fencing
 	// number. Default false: the agent alone protects the engine.
 	ChecksFencing bool `toml:"checks_fencing"`
+	// OrderLease is how long a controller may send orders after its claim, and
+	// how long a restarted agent waits before it grants the first one. Default
+	// "10s", range 100ms to 5m. An order of the agent's former start that is
+	// still on its way to an engine without checks_fencing must arrive within
+	// this time.
+	OrderLease tomlfile.Duration `toml:"order_lease"`
+	// OrderTimeout bounds the wait for the engine's answer to an order. Default
+	// "10m", range 1s to 1h. The order counts as unsettled afterwards.
+	OrderTimeout tomlfile.Duration `toml:"order_timeout"`
 	// ProbeInterval is the time between health probes. Default "250ms", range
 	// 50ms to 10s.
 	ProbeInterval tomlfile.Duration `toml:"probe_interval"`
@@ -93,9 +102,12 @@
 		LedgerBytes:       16 << 20,
 		TicketLinger:      tomlfile.Duration(time.Minute),
 		DrainTimeout:      tomlfile.Duration(10 * time.Minute),
-		BackendServer:     BackendServer{Slots: 16, ProbeInterval: tomlfile.Duration(250 * time.Millisecond)},
-		Queue:             Queue{Items: 512, Bytes: 8 << 20, MiddleFloor: 0.2, BottomFloor: 0.1},
-		Limits:            DefaultLimits(),
+		BackendServer: BackendServer{
+			Slots: 16, ProbeInterval: tomlfile.Duration(250 * time.Millisecond),
+			OrderLease: tomlfile.Duration(10 * time.Second), OrderTimeout: tomlfile.Duration(10 * time.Minute),
+		},
+		Queue:  Queue{Items: 512, Bytes: 8 << 20, MiddleFloor: 0.2, BottomFloor: 0.1},
+		Limits: DefaultLimits(),
 	}
 }
 
@@ -120,6 +132,8 @@
 	f.Required("backend_server.name", b.Name, "the name of a model or service")
 	checkURL(f, "backend_server.url", b.URL)
 	tomlfile.InRange(f, "backend_server.slots", b.Slots, 1, 1024)
+	f.DurationInRange("backend_server.order_lease", b.OrderLease, 100*time.Millisecond, 5*time.Minute)
+	f.DurationInRange("backend_server.order_timeout", b.OrderTimeout, time.Second, time.Hour)
 	f.DurationInRange("backend_server.probe_interval", b.ProbeInterval, 50*time.Millisecond, 10*time.Second)
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -51,6 +51,12 @@
 	kindChunk
 	kindDone
 	kindRefused
+	kindLeaseClaim
+	kindLease
+	kindOrderRequest
+	kindOrderResult
+	// kindEnd follows the last kind.
+	kindEnd
 )
 
 func (*Open) messageKind() kind         { return kindOpen }
@@ -73,6 +79,10 @@
 func (*Chunk) messageKind() kind        { return kindChunk }
 func (*Done) messageKind() kind         { return kindDone }
 func (*Refused) messageKind() kind      { return kindRefused }
+func (*LeaseClaim) messageKind() kind   { return kindLeaseClaim }
+func (*Lease) messageKind() kind        { return kindLease }
+func (*OrderRequest) messageKind() kind { return kindOrderRequest }
+func (*OrderResult) messageKind() kind  { return kindOrderResult }
 
 // newMessage returns an empty message of kind k, or nil if k is unknown.
 func newMessage(k kind) Message {
@@ -117,6 +127,14 @@
 		return &Done{}
 	case kindRefused:
 		return &Refused{}
+	case kindLeaseClaim:
+		return &LeaseClaim{}
+	case kindLease:
+		return &Lease{}
+	case kindOrderRequest:
+		return &OrderRequest{}
+	case kindOrderResult:
+		return &OrderResult{}
 	}
 	return nil
 }
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -46,7 +46,7 @@
 func TestRoundTripOfEveryMessage(t *testing.T) {
 	is := is.New(t)
 	types := map[reflect.Type]bool{}
-	for k := kindOpen; k <= kindRefused; k++ {
+	for k := kindOpen; k < kindEnd; k++ {
 		sent := newMessage(k)
 		is.True(sent != nil)
 		is.Equal(sent.messageKind(), k)
@@ -62,8 +62,8 @@
 		is.Equal(uint64(stamp), uint64(77))
 		is.Equal(frame.Len(), 0)
 	}
-	is.Equal(len(types), int(kindRefused))
-	is.True(newMessage(kindRefused+1) == nil)
+	is.Equal(len(types), int(kindEnd-1))
+	is.True(newMessage(kindEnd) == nil)
 }
 
 // Guards against memory taken for frames beyond the bound, on both sides.
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -10,7 +10,7 @@
 // FuzzRead guards against frames that end the process, errors that callers do
 // not expect, and messages that change when they are passed on.
 func FuzzRead(f *testing.F) {
-	for k := kindOpen; k <= kindRefused; k++ {
+	for k := kindOpen; k < kindEnd; k++ {
 		var frame bytes.Buffer
 		if err := Write(&frame, 5, newMessage(k)); err != nil {
 			f.Fatal(err)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -74,6 +74,9 @@
 	TokensPerSecond float64 `cbor:"13,keyasint"`
 	// CachedPrefixes holds hashes of prompt prefixes that the engine caches.
 	CachedPrefixes []uint64 `cbor:"14,keyasint,omitempty"`
+	// Version and Role are what the engine holds and does, if it says so.
+	Version string `cbor:"15,keyasint,omitempty"`
+	Role    string `cbor:"16,keyasint,omitempty"`
 }
 
 // Member is what gossip carries about a process.
