Switch expert maps by prepare, hold and decide

Change: documents groups/NAME name ranks and placement; the revision is the map's number. The agent of rank 0 keeps links to the other ranks' agents and coordinates: it claims an epoch, ends what was left open, prepares, holds and commits. Engines keep all state of a switch, agents pass calls on. The stand-in group runs all ranks of a group in lock-step and counts steps with two maps and held steps.

Ruled out: relaying through entry VMs and a connection per call, see docs/decisions/0009-map-links.md. A change in the epoch of an abort: an abort that arrives twice releases a rank that holds.

Not covered: engines that lose their state; they must be restarted together.

--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -219,12 +219,17 @@
 		c.AdvertiseAddress = relay.Address()
 	}
 	c.Keys = f.keys()
+	if spec.URL != "" {
+		c.BackendServer.URL, a.BackendURL = spec.URL, spec.URL
+	}
 	if f.options.AgentSettings != nil {
 		f.options.AgentSettings(&c)
 	}
 	a.Settings = c
 	a.Process = newProcess(f.Dir, name, f.binary("coltsfootbay"), "agent", "--settings", f.settingsFile(name))
-	a.Backend = f.backend(a, spec, backend)
+	if spec.URL == "" {
+		a.Backend = f.backend(a, spec, backend)
+	}
 	return nil
 }
 
@@ -338,12 +343,15 @@
 
 func (f *Fleet) startAll() error {
 	for _, a := range f.Agents {
+		if a.Backend == nil {
+			continue
+		}
 		if err := a.Backend.Start(); err != nil {
 			return err
 		}
 	}
 	for _, a := range f.Agents {
-		if err := a.Backend.waitListening(strings.TrimPrefix(a.BackendURL, "http://"), f.options.ReadyTimeout); err != nil {
+		if err := f.waitBackend(a); err != nil {
 			return err
 		}
 		if err := a.Start(); err != nil {
@@ -358,6 +366,13 @@
 	return nil
 }
 
+func (f *Fleet) waitBackend(a *Agent) error {
+	if a.Backend == nil {
+		return nil
+	}
+	return a.Backend.waitListening(strings.TrimPrefix(a.BackendURL, "http://"), f.options.ReadyTimeout)
+}
+
 // WaitReady waits until every process is ready, every entry VM names all entry
 // VMs, and every entry VM reaches every model and service.
 func (f *Fleet) WaitReady(ctx context.Context) error {
--- a/integration/harness/options.go
+++ b/integration/harness/options.go
@@ -56,6 +56,9 @@
 	Zone string
 	// Slots is the number of requests at a time; zero means 16.
 	Slots int
+	// URL is the base URL of a backend server that the test runs itself; empty
+	// starts a stand-in.
+	URL string
 	// Arguments are further arguments of the stand-in.
 	Arguments []string
 }
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -84,6 +84,8 @@
 		a.claimLease(c, m)
 	case *wire.OrderRequest:
 		a.sendOrder(c, m)
+	case *wire.MapCall:
+		_ = c.stream.Send(a.mapCall(c.stream.Context(), m))
 	default:
 		a.refuse(c, "", verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "unexpected message %T", m))
 	}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -31,6 +31,7 @@
 	group.Go(func() error { a.probeLoop(running); return nil })
 	group.Go(func() error { a.reportLoop(running); return nil })
 	group.Go(func() error { a.watchVMList(running); return nil })
+	group.Go(func() error { a.newCoordinator().Run(running); return nil })
 	a.recorder.Record("agent.started", "", events.F("server", a.config.BackendServer.Name))
 	a.waitForLeaving(ctx, running)
 	a.shutDown(running)
--- a/internal/dynamic/compute.go
+++ b/internal/dynamic/compute.go
@@ -46,6 +46,7 @@
 type builder struct {
 	effective *Effective
 	adapters  map[string]bool
+	ranked    map[string]bool
 	accounts  []wire.Document
 	engines   []wire.Document
 }
@@ -56,9 +57,11 @@
 			Models:     map[string]Model{},
 			Services:   map[string]Service{},
 			Templates:  map[string]*Template{},
+			Groups:     map[string]Group{},
 			ShareScale: 1,
 		},
 		adapters: map[string]bool{},
+		ranked:   map[string]bool{},
 	}
 }
 
@@ -73,6 +76,8 @@
 		b.addService(name, d)
 	case kindAccount:
 		b.accounts = append(b.accounts, d)
+	case kindGroup:
+		b.addGroup(name, d)
 	case kindEngine:
 		b.engines = append(b.engines, d)
 	}
--- a/internal/dynamic/dynamic_test.go
+++ b/internal/dynamic/dynamic_test.go
@@ -59,6 +59,8 @@
 		{"services/s", "[[rule]]\nmethod = \"FETCH\"\npath_prefix = \"/\"", "services/s:2: rule[0].method"},
 		{"engines/e", "agent = \"a\"\nmodel = \"m\"\nrole = \"\"", "engines/e:3: role"},
 		{"engines/e", "model = \"m\"", "engines/e: agent"},
+		{"groups/g", "model = \"m\"\nexperts = 2\nranks = [\"a\", \"b\"]\nplacement = [0, 2]", "groups/g:4: placement: 2 is not a rank"},
+		{"groups/g", "model = \"m\"\nexperts = 0\nranks = [\"a\"]", "groups/g:2: experts"},
 		{"other/s", "", "is not a kind of document"},
 	}
 	for _, c := range cases {
--- a/internal/dynamic/effective.go
+++ b/internal/dynamic/effective.go
@@ -99,7 +99,9 @@
 	Accounts  map[KeyHash]*Account
 	ByID      map[fleet.ClientAccount]*Account
 	// Engines holds what the engine of each agent should hold.
-	Engines  map[fleet.ProcessID]Engine
+	Engines map[fleet.ProcessID]Engine
+	// Groups holds the model groups by name.
+	Groups   map[string]Group
 	Inactive []Inactive
 	// ShareScale is the factor that scales claimed shares; 1 when the claims
 	// fit the fleet.
--- a/internal/dynamic/parse.go
+++ b/internal/dynamic/parse.go
@@ -25,7 +25,7 @@
 
 const (
 	allowedName   = "1 to 128 letters, digits, dots, underscores and hyphens"
-	allowedKind   = "accounts/NAME, engines/NAME, models/NAME, services/NAME, templates/NAME"
+	allowedKind   = "accounts/NAME, engines/NAME, groups/NAME, models/NAME, services/NAME, templates/NAME"
 	allowedKey    = "64 hexadecimal digits"
 	allowedUnique = "a value that no other table of the document has"
 )
@@ -61,13 +61,15 @@
 		return decodeAndCheck(d, &serviceSchema{})
 	case kindEngine:
 		return decodeAndCheck(d, &engineSchema{})
+	case kindGroup:
+		return decodeAndCheck(d, &groupSchema{})
 	}
 	return checkKind(d.Name, kind)
 }
 
 func checkKind(document, kind string) error {
 	switch kind {
-	case kindModel, kindTemplate, kindAccount, kindService, kindEngine:
+	case kindModel, kindTemplate, kindAccount, kindService, kindEngine, kindGroup:
 		return nil
 	}
 	return fault(document, allowedKind, "%q is not a kind of document", kind)
--- a/internal/dynamic/schema.go
+++ b/internal/dynamic/schema.go
@@ -9,6 +9,7 @@
 	kindAccount  = "accounts"
 	kindService  = "services"
 	kindEngine   = "engines"
+	kindGroup    = "groups"
 )
 
 type modelSchema struct {
@@ -56,3 +57,10 @@
 	Adapters []string `toml:"adapters"`
 	Role     string   `toml:"role"`
 }
+
+type groupSchema struct {
+	Model     string   `toml:"model"`
+	Experts   int      `toml:"experts"`
+	Ranks     []string `toml:"ranks"`
+	Placement []int    `toml:"placement"`
+}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -102,7 +102,8 @@
 	if !ok || hello.Process == "" || hello.Process == self.Process {
 		return errProtocol
 	}
-	if p.dialed || hello.Role == fleet.RoleEntry {
+	// Agents dial only agents: rank 0 of a group dials the other ranks.
+	if p.dialed || hello.Role == fleet.RoleEntry || self.Role == fleet.RoleAgent {
 		p.hello = *hello
 		return nil
 	}
@@ -203,7 +204,8 @@
 }
 
 func (p *peer) sendState() error {
-	if err := p.send(p.manager.heartbeat()); err != nil || p.manager.Report == nil {
+	// Reports are for routing, so agents send none to each other.
+	if err := p.send(p.manager.heartbeat()); err != nil || p.manager.Report == nil || p.hello.Role != fleet.RoleEntry {
 		return err
 	}
 	report := p.manager.Report()
--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -24,13 +24,13 @@
 	demotion = 30 * time.Second
 )
 
-// Targets returns the links that the own process should have. Agents have
-// none: they only accept.
+// Targets returns the links that the own process should have. Agents only
+// accept, but for the agent of a group's rank 0.
 func (v *View) Targets() []Target {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.config.Self.Role != fleet.RoleEntry {
-		return nil
+		return slices.Clone(v.ranks)
 	}
 	targets := v.seeds()
 	for _, r := range v.peers() {
@@ -42,6 +42,16 @@
 	return slices.DeleteFunc(targets, func(t Target) bool { return t.Address == "" })
 }
 
+// SetRanks sets the agents that an agent dials as the coordinator of a group.
+func (v *View) SetRanks(ranks []Target) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !slices.Equal(v.ranks, ranks) {
+		v.ranks = ranks
+		v.signal()
+	}
+}
+
 func target(r *record) Target {
 	return Target{Process: r.hello.Process, Role: r.hello.Role, Address: r.hello.Address}
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -58,6 +58,8 @@
 	vms     map[fleet.ProcessID]config.VM
 	changed chan struct{}
 	cursor  int
+	// ranks are the targets of an agent that coordinates a group.
+	ranks []Target
 }
 
 // Config holds the parameters of a View.
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -20,7 +20,7 @@
 // Command returns the standin command.
 func Command() *cobra.Command {
 	root := &cobra.Command{Use: "standin", Short: "Test-only stand-ins for outside systems", SilenceUsage: true}
-	root.AddCommand(platformCommand(), engineCommand(), serviceCommand(), weightsCommand())
+	root.AddCommand(platformCommand(), engineCommand(), groupCommand(), serviceCommand(), weightsCommand())
 	return root
 }
 
@@ -76,6 +76,19 @@
 	return c
 }
 
+func groupCommand() *cobra.Command {
+	config := GroupConfig{Model: "small", Ranks: 4, Step: 10 * time.Millisecond}
+	c := command("group", "Engines of a model group in lock-step", func(ctx context.Context) (http.Handler, error) {
+		group := NewGroup(config)
+		go group.Run(ctx)
+		return group.Handler(), nil
+	})
+	c.Flags().StringVar(&config.Model, "model", config.Model, "loaded model")
+	c.Flags().IntVar(&config.Ranks, "ranks", config.Ranks, "number of ranks")
+	c.Flags().DurationVar(&config.Step, "step", config.Step, "time of a step")
+	return c
+}
+
 func serviceCommand() *cobra.Command {
 	config := ServiceConfig{RunTime: 20 * time.Millisecond, Crash: exitCrashed}
 	var journal string
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -55,6 +55,8 @@
 	kindLease
 	kindOrderRequest
 	kindOrderResult
+	kindMapCall
+	kindMapAnswer
 	// kindEnd follows the last kind.
 	kindEnd
 )
@@ -83,6 +85,8 @@
 func (*Lease) messageKind() kind        { return kindLease }
 func (*OrderRequest) messageKind() kind { return kindOrderRequest }
 func (*OrderResult) messageKind() kind  { return kindOrderResult }
+func (*MapCall) messageKind() kind      { return kindMapCall }
+func (*MapAnswer) messageKind() kind    { return kindMapAnswer }
 
 // newMessage returns an empty message of kind k, or nil if k is unknown.
 func newMessage(k kind) Message {
@@ -135,6 +139,10 @@
 		return &OrderRequest{}
 	case kindOrderResult:
 		return &OrderResult{}
+	case kindMapCall:
+		return &MapCall{}
+	case kindMapAnswer:
+		return &MapAnswer{}
 	}
 	return nil
 }
