--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -81,6 +81,12 @@
 		a.attach(c, m)
 	case *wire.Resolve:
 		a.resolve(c, m)
+	case *wire.LeaseClaim:
+		a.claimLease(c, m)
+	case *wire.OrderRequest:
+		a.sendOrder(c, m)
+	case *wire.MapCall:
+		_ = c.stream.Send(a.mapCall(c.stream.Context(), m))
 	default:
 		a.refuse(c, "", verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "unexpected message %T", m))
 	}
--- a/internal/dynamic/schema.go
+++ b/internal/dynamic/schema.go
@@ -8,6 +8,8 @@
 	kindTemplate = "templates"
 	kindAccount  = "accounts"
 	kindService  = "services"
+	kindEngine   = "engines"
+	kindGroup    = "groups"
 )
 
 type modelSchema struct {
@@ -47,3 +49,18 @@
 type serviceSchema struct {
 	Rules []ruleSchema `toml:"rule"`
 }
+
+type engineSchema struct {
+	Agent    string   `toml:"agent"`
+	Model    string   `toml:"model"`
+	Version  string   `toml:"version"`
+	Adapters []string `toml:"adapters"`
+	Role     string   `toml:"role"`
+}
+
+type groupSchema struct {
+	Model     string   `toml:"model"`
+	Experts   int      `toml:"experts"`
+	Ranks     []string `toml:"ranks"`
+	Placement []int    `toml:"placement"`
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -51,6 +51,14 @@
 	kindChunk
 	kindDone
 	kindRefused
+	kindLeaseClaim
+	kindLease
+	kindOrderRequest
+	kindOrderResult
+	kindMapCall
+	kindMapAnswer
+	// kindEnd follows the last kind.
+	kindEnd
 )
 
 func (*Open) messageKind() kind         { return kindOpen }
@@ -73,6 +81,12 @@
 func (*Chunk) messageKind() kind        { return kindChunk }
 func (*Done) messageKind() kind         { return kindDone }
 func (*Refused) messageKind() kind      { return kindRefused }
+func (*LeaseClaim) messageKind() kind   { return kindLeaseClaim }
+func (*Lease) messageKind() kind        { return kindLease }
+func (*OrderRequest) messageKind() kind { return kindOrderRequest }
+func (*OrderResult) messageKind() kind  { return kindOrderResult }
+func (*MapCall) messageKind() kind      { return kindMapCall }
+func (*MapAnswer) messageKind() kind    { return kindMapAnswer }
 
 // newMessage returns an empty message of kind k, or nil if k is unknown.
 func newMessage(k kind) Message {
@@ -117,6 +131,18 @@
 		return &Done{}
 	case kindRefused:
 		return &Refused{}
+	case kindLeaseClaim:
+		return &LeaseClaim{}
+	case kindLease:
+		return &Lease{}
+	case kindOrderRequest:
+		return &OrderRequest{}
+	case kindOrderResult:
+		return &OrderResult{}
+	case kindMapCall:
+		return &MapCall{}
+	case kindMapAnswer:
+		return &MapAnswer{}
 	}
 	return nil
 }
