Prove that configuration changes are in force and never revert

Cause: nothing showed with real processes that an accepted change reaches every entry VM and agent within 3 s and stays in force, and an agent did not show which revisions it holds.

Ruled out: reading only the store's hash; it hides a revision that goes back on one document while another goes forward.

Change: agents list their documents in /admin/v1/status. TestConfigurationChanges runs 9 entry VMs in 3 zones and 3 agents through rejections, deletions, two operators, silent watches, a platform that is down or has lost its state, freezes, a zone cut and killed readers, while a sampler reads every document of every process and fails on any decrease.

--- /dev/null
+++ b/integration/config_change_test.go
@@ -0,0 +1,321 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/integration/harness"
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/standin"
+)
+
+// silent swallows all bytes of a connection and keeps it open.
+var silent = harness.Toxic{Name: "silent", Type: "timeout", Stream: "downstream", Attributes: map[string]int{"timeout": 0}}
+
+// changes is a fleet of 9 entry VMs in 3 zones whose configuration changes.
+type changes struct {
+	*testing.T
+	ctx     context.Context
+	fleet   *harness.Fleet
+	sampler *sampler
+	// worst is the longest time in which a change was in force, by schedule.
+	worst map[string]time.Duration
+	// refused holds for models/refused after the schedule of that name.
+	refused func(config.DocumentStatus) bool
+	next    int
+}
+
+func startChanges(t *testing.T) *changes {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(amount(60, 400))*time.Second)
+	t.Cleanup(cancel)
+	var agents []harness.AgentSpec
+	for range 3 {
+		agents = append(agents, harness.AgentSpec{Kind: settings.KindModel, Backend: "small"})
+	}
+	f, err := harness.Start(ctx, harness.Options{
+		Bin: *binaries, Zones: []string{"zone-1", "zone-2", "zone-3"}, Entries: 9, Agents: agents,
+		Models:    []harness.ModelSpec{{Name: "small"}},
+		Templates: []harness.TemplateSpec{{Name: "routine", Rank: "middle", Share: 0.5, Models: []string{"small"}}},
+		Accounts:  []harness.AccountSpec{{ID: "account-1", Key: "key-1", Template: "routine"}},
+		UDPFaults: true, TCPFaults: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return &changes{T: t, ctx: ctx, fleet: f, sampler: startSampler(t, f), worst: map[string]time.Duration{}}
+}
+
+func (c *changes) must(err error) {
+	c.Helper()
+	if err != nil {
+		c.Fatal(err)
+	}
+}
+
+// publish publishes a valid document with new content.
+func (c *changes) publish(document string) uint64 {
+	c.Helper()
+	c.next++
+	revision, err := c.fleet.Publish(c.ctx, document, fmt.Sprintf("adapters = [\"a%d\"]\nversions = []\n", c.next))
+	c.must(err)
+	return revision
+}
+
+func (c *changes) mode(mode standin.PlatformMode) {
+	c.Helper()
+	c.must(c.fleet.SetPlatformMode(c.ctx, mode, 0))
+}
+
+// await waits until a condition holds on the processes and notes the time.
+func (c *changes) await(schedule, document string, began time.Time, processes []sampled, ok func(config.DocumentStatus) bool) {
+	c.Helper()
+	c.worst[schedule] = max(c.worst[schedule], c.sampler.await(c.T, schedule, document, began, processes, ok))
+}
+
+// change publishes and waits until the change is in force everywhere.
+func (c *changes) change(schedule string) {
+	c.Helper()
+	began := time.Now()
+	c.await(schedule, "models/changing", began, c.sampler.processes, atLeast(c.publish("models/changing")))
+}
+
+// Guards against an accepted change that is late, lost on a process, or
+// reverted: a sampler reads every process during all faults.
+func TestConfigurationChanges(t *testing.T) {
+	c := startChanges(t)
+	schedules := []struct {
+		name string
+		run  func(*changes, string)
+	}{
+		{"plain", (*changes).change},
+		{"rejected", (*changes).rejected},
+		{"deleted", (*changes).deleted},
+		{"operators", (*changes).operators},
+		{"silent_watch", (*changes).silentWatch},
+		{"platform_down", (*changes).platformDown},
+		{"frozen", (*changes).frozen},
+		{"zone_cut", (*changes).zoneCut},
+		{"readers_killed", (*changes).readersKilled},
+		{"platform_lost_its_state", (*changes).platformStale},
+	}
+	for _, s := range schedules {
+		s.run(c, s.name)
+	}
+	c.sampler.close(t)
+	var figures []any
+	for _, name := range slices.Sorted(maps.Keys(c.worst)) {
+		figures = append(figures, name+"_ms", c.worst[name].Milliseconds())
+	}
+	figures = append(figures, "samples", c.sampler.samples, "reverts", len(c.sampler.faults))
+	proved(t, "configuration_in_force", figures...)
+}
+
+// rejected publishes a revision that is not valid: the last good one stays in
+// force, and every process shows the reason.
+func (c *changes) rejected(schedule string) {
+	good := c.publish("models/refused")
+	c.await(schedule, "models/refused", time.Now(), c.sampler.processes, atLeast(good))
+	began := time.Now()
+	bad, err := c.fleet.Publish(c.ctx, "models/refused", "adapters = 7\n")
+	c.must(err)
+	c.refused = func(d config.DocumentStatus) bool {
+		return d.Latest == bad && d.InForce == good && d.Rejected != ""
+	}
+	c.await(schedule, "models/refused", began, c.sampler.processes, c.refused)
+}
+
+func (c *changes) deleted(schedule string) {
+	c.await(schedule, "models/deleted", time.Now(), c.sampler.processes, atLeast(c.publish("models/deleted")))
+	began := time.Now()
+	revision, err := c.fleet.Delete(c.ctx, "models/deleted")
+	c.must(err)
+	c.await(schedule, "models/deleted", began, c.sampler.processes, func(d config.DocumentStatus) bool {
+		return d.InForce >= revision && d.Deleted
+	})
+}
+
+// operators publishes the same documents from two places at once, so that
+// processes get them in different orders.
+func (c *changes) operators(schedule string) {
+	documents := []string{"models/one", "models/two"}
+	newest := map[string]uint64{}
+	var mu sync.Mutex
+	var both sync.WaitGroup
+	began := time.Now()
+	for operator := range 2 {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			for i := range 20 {
+				name := documents[(i+operator)%2]
+				revision, err := c.fleet.Publish(c.ctx, name, fmt.Sprintf("adapters = [\"o%d-%d\"]\nversions = []\n", operator, i))
+				mu.Lock()
+				newest[name] = max(newest[name], revision)
+				mu.Unlock()
+				if err != nil {
+					c.Error(err)
+				}
+			}
+		}()
+	}
+	both.Wait()
+	for _, name := range documents {
+		c.await(schedule, name, began, c.sampler.processes, atLeast(newest[name]))
+	}
+}
+
+// silentWatch lets all entry VMs but one hang on open connections that carry no
+// bytes, so that the one left must carry the change to all.
+func (c *changes) silentWatch(schedule string) {
+	for i := range amount(2, len(c.fleet.Entries)) {
+		spared := (int(*seed) + i) % len(c.fleet.Entries)
+		for j, e := range c.fleet.Entries {
+			if j != spared {
+				c.must(e.PlatformFaults.Add(silent))
+			}
+		}
+		c.change(schedule)
+		for _, e := range c.fleet.Entries {
+			c.must(e.PlatformFaults.Heal())
+		}
+	}
+}
+
+// platformDown starts processes with nothing while the platform refuses all
+// calls, and publishes meanwhile. The change counts from the platform's return.
+func (c *changes) platformDown(schedule string) {
+	held := c.publish("models/changing")
+	c.await(schedule, "models/changing", time.Now(), c.sampler.processes, atLeast(held))
+	c.mode(standin.PlatformRefuse)
+	time.Sleep(time.Duration(amount(2, 60)) * time.Second)
+	c.must(c.fleet.Entries[4].Restart())
+	c.must(c.fleet.Agents[1].Restart())
+	began := time.Now()
+	c.await(schedule+"_empty_start", "models/changing", began, c.sampler.processes, atLeast(held))
+	c.await(schedule+"_empty_start", "models/refused", began, c.sampler.processes, c.refused)
+	revision := c.publish("models/changing")
+	c.mode(standin.PlatformUp)
+	c.await(schedule, "models/changing", time.Now(), c.sampler.processes, atLeast(revision))
+}
+
+// frozen stops an entry VM and an agent beyond the time after which peers are
+// considered dead, and changes documents meanwhile.
+func (c *changes) frozen(schedule string) {
+	asleep := map[string]bool{c.fleet.Entries[0].Name: true, c.fleet.Agents[0].Name: true}
+	c.must(c.fleet.Entries[0].Freeze())
+	c.must(c.fleet.Agents[0].Freeze())
+	awake := c.sampler.in(func(name string) bool { return !asleep[name] })
+	revision := c.publish("models/changing")
+	c.await(schedule, "models/changing", time.Now(), awake, atLeast(revision))
+	time.Sleep(time.Duration(amount(4, 15)) * time.Second)
+	c.must(c.fleet.Entries[0].Wake())
+	c.must(c.fleet.Agents[0].Wake())
+	c.await(schedule+"_woken", "models/changing", time.Now(), c.sampler.processes, atLeast(revision))
+}
+
+// zoneCut cuts zone-1 off from the other zones and from the platform. After the
+// links heal, the platform stays out of its reach, so peers must bring the
+// change.
+func (c *changes) zoneCut(schedule string) {
+	inside := map[string]bool{}
+	for _, e := range c.fleet.Entries {
+		if e.Settings.Zone == "zone-1" {
+			inside[e.Name] = true
+			e.PlatformFaults.Cut()
+		}
+	}
+	for _, a := range c.fleet.Agents {
+		inside[a.Name] = a.Settings.Zone == "zone-1"
+	}
+	c.cutLinks(inside)
+	time.Sleep(time.Duration(amount(4, 20)) * time.Second)
+	outside := c.sampler.in(func(name string) bool { return !inside[name] })
+	revision := c.publish("models/changing")
+	c.await(schedule, "models/changing", time.Now(), outside, atLeast(revision))
+	c.healLinks()
+	c.await(schedule+"_healed", "models/changing", time.Now(), c.sampler.processes, atLeast(revision))
+	for _, e := range c.fleet.Entries {
+		c.must(e.PlatformFaults.Heal())
+	}
+}
+
+// relayed is a process with the relay in front of it.
+type relayed struct {
+	name, peer string
+	relay      *harness.UDPRelay
+}
+
+func relays(f *harness.Fleet) []relayed {
+	var list []relayed
+	for _, e := range f.Entries {
+		list = append(list, relayed{e.Name, e.Settings.PeerAddress, e.Relay})
+	}
+	for _, a := range f.Agents {
+		list = append(list, relayed{a.Name, a.Settings.PeerAddress, a.Relay})
+	}
+	return list
+}
+
+// cutLinks drops all packets between the processes inside and the others.
+func (c *changes) cutLinks(inside map[string]bool) {
+	cut := harness.LinkFault{Cut: true}
+	all := relays(c.fleet)
+	for _, target := range all {
+		for _, sender := range all {
+			if inside[target.name] != inside[sender.name] {
+				c.must(target.relay.SetFaultsFor(sender.peer, cut, cut))
+			}
+		}
+	}
+}
+
+func (c *changes) healLinks() {
+	for _, r := range relays(c.fleet) {
+		r.relay.Heal()
+	}
+}
+
+// readersKilled kills two of the three entry VMs of a zone right before a
+// change; over all pairs, the killed ones are the zone's readers once.
+func (c *changes) readersKilled(schedule string) {
+	var zone []*harness.Entry
+	for _, e := range c.fleet.Entries {
+		if e.Settings.Zone == "zone-2" {
+			zone = append(zone, e)
+		}
+	}
+	for spared := range amount(1, len(zone)) {
+		for i, e := range zone {
+			if i != spared {
+				e.Kill()
+			}
+		}
+		c.change(schedule)
+		for i, e := range zone {
+			if i != spared {
+				c.must(e.Start())
+			}
+		}
+		c.change(schedule + "_return")
+	}
+}
+
+// platformStale restarts the stand-in, which then answers with no documents and
+// low revisions: nothing may change, also not in a process that starts anew.
+func (c *changes) platformStale(schedule string) {
+	held := c.publish("models/changing")
+	c.await(schedule, "models/changing", time.Now(), c.sampler.processes, atLeast(held))
+	c.must(c.fleet.Platform.Restart())
+	time.Sleep(time.Duration(amount(2, 30)) * time.Second)
+	c.must(c.fleet.Entries[8].Restart())
+	c.must(c.fleet.Agents[2].Restart())
+	c.await(schedule, "models/changing", time.Now(), c.sampler.processes, atLeast(held))
+}
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/adminhttp"
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
@@ -77,6 +78,10 @@
 	Queued       int     `json:"queued"`
 	QueuedTokens int64   `json:"queued_tokens"`
 	TokenRate    float64 `json:"tokens_per_second"`
+	// ConfigRevision is the highest platform revision seen, and Documents
+	// tells which revision of each document is in force.
+	ConfigRevision uint64                  `json:"config_revision"`
+	Documents      []config.DocumentStatus `json:"documents"`
 }
 
 func (a *agent) status() Status {
@@ -86,6 +91,7 @@
 		Leaving: a.leaving.Load(), Kind: a.config.BackendServer.Kind, Server: a.config.BackendServer.Name,
 		ServerUp: s.up, ServerStart: s.start, Slots: s.slots,
 		Running: q.Running, Queued: q.Queued, QueuedTokens: q.Tokens, TokenRate: a.rate.perSecond(),
+		ConfigRevision: a.store.Revision(), Documents: a.store.Status(),
 	}
 }
 
