link: send an agent's full report only when it changed

Cause: every agent sent its full report and a heartbeat to every linked entry VM each second and at each change of its load, beside QUIC's own keep-alive.

Ruled out: a 2 s interval; with a pause of 1 s a report would be 3 s old and the link silent for 3 s, which are the limits.

Change: while the last report holds, a heartbeat says so with the new uptime and sequence number. A link without requests in the last 3 s beats every 1.5 s and gets changes of load with the beat; changes of leaving, server and model are still pushed at once. QUIC keep-alive is off. Routing counts the work sent since a report by the sequence number, so the number moves on with a confirmation.

--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -18,6 +18,14 @@
 
 const (
 	heartbeatInterval = time.Second
+	// quietInterval is heartbeatInterval on a link to an agent that carries no
+	// requests. A pause of 1 s then neither ends the link nor makes a report
+	// older than 3 s.
+	quietInterval = 1500 * time.Millisecond
+	// quietAfter is how long after its last request a link counts as quiet.
+	quietAfter = 3 * time.Second
+	// reportInterval is the longest time between full reports.
+	reportInterval = 15 * time.Second
 	// silenceLimit is the silence after which a control stream is closed.
 	silenceLimit = 3 * time.Second
 	// pushGap bounds pushes to 20 a second.
@@ -51,6 +59,13 @@
 	// belongs to the reading goroutine.
 	mismatches int
 	heartbeats int
+	// requested is when the peer last opened a request stream, in Unix
+	// nanoseconds.
+	requested atomic.Int64
+	// reported is the last report sent, at reportedAt. Both belong to the
+	// writing goroutine.
+	reported   *wire.Report
+	reportedAt time.Time
 
 	mu sync.Mutex
 	// pending holds the sequence numbers that wait for an acknowledgement.
@@ -141,6 +156,7 @@
 		if err != nil {
 			return err
 		}
+		p.requested.Store(time.Now().UnixNano())
 		handlers.Go(func() error {
 			kind, err := stream.Kind()
 			switch {
@@ -177,12 +193,15 @@
 		case <-gap:
 			wake = p.wake
 		case <-wake:
-			err = p.sendState()
 			wake, gap = nil, time.After(pushGap)
-			beat.Reset(heartbeatInterval)
+			if !p.urgent() {
+				continue
+			}
+			err = p.sendState()
+			beat.Reset(p.interval())
 		case <-beat.C:
 			err = p.sendState()
-			beat.Reset(heartbeatInterval)
+			beat.Reset(p.interval())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -202,12 +221,18 @@
 	return nil
 }
 
-func (p *peer) sendState() error {
-	if err := p.send(p.manager.heartbeat()); err != nil || p.manager.Report == nil {
-		return err
+// interval returns the time until the next heartbeat.
+func (p *peer) interval() time.Duration {
+	if p.quiet() && (p.manager.Report != nil || p.hello.Role == fleet.RoleAgent) {
+		return quietInterval
 	}
-	report := p.manager.Report()
-	return p.send(&report)
+	return heartbeatInterval
+}
+
+// quiet reports whether the link has carried no requests lately.
+func (p *peer) quiet() bool {
+	since := time.Since(time.Unix(0, p.requested.Load()))
+	return since > quietAfter && p.conn.OpenStreams() <= 1
 }
 
 func (p *peer) send(message wire.Message) error {
--- a/internal/member/evidence.go
+++ b/internal/member/evidence.go
@@ -62,6 +62,15 @@
 	if r := v.direct(h); r != nil {
 		r.count = max(r.count, b.Count)
 		v.setLeaving(r, b.Leaving)
+		r.confirm(b, v.now())
+	}
+}
+
+// confirm notes that the last report still holds. The sequence number moves on,
+// because routing counts the work sent since a report by it.
+func (r *record) confirm(b wire.Heartbeat, at time.Time) {
+	if b.ReportUptime > 0 && r.reported && b.ReportSequence >= r.report.Sequence {
+		r.report.Uptime, r.report.Sequence, r.reportAt = b.ReportUptime, b.ReportSequence, at
 	}
 }
 
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -202,3 +202,23 @@
 	}
 	is.Equal(len(tried), 12)
 }
+
+// Guards against a report that is out of date although heartbeats confirm it,
+// and against work that routing counts twice because the sequence stands still.
+func TestHeartbeatConfirmsReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := newView(Config{Self: wire.Hello{Process: "entry-1", Role: fleet.RoleEntry}}, func() time.Time { return now })
+	h := wire.Hello{Process: "agent-1", Start: 1, Role: fleet.RoleAgent}
+	v.Reported(h, wire.Report{Sequence: 4, Uptime: 100, Model: "small", Running: 2})
+	now = now.Add(2 * time.Second)
+	v.Heard(h, wire.Heartbeat{Count: 1, ReportUptime: 2100, ReportSequence: 5})
+	now = now.Add(2 * time.Second)
+	agents := v.Agents()
+	if len(agents) != 1 || agents[0].Uptime() != 4100 || agents[0].Report.Sequence != 5 || agents[0].Report.Running != 2 {
+		t.Fatalf("agents %+v", agents)
+	}
+	v.Heard(h, wire.Heartbeat{Count: 2})
+	if now = now.Add(1500 * time.Millisecond); len(v.Agents()) != 0 {
+		t.Fatal("a heartbeat that does not confirm the report refreshed it")
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -20,10 +20,10 @@
 
 // Limits of a connection.
 const (
-	// idleTimeout closes a connection whose peer is silent.
-	idleTimeout = 4 * time.Second
-	// keepAlive keeps a quiet connection open and detects a dead peer.
-	keepAlive        = time.Second
+	// idleTimeout closes a connection whose peer is silent. The heartbeats on
+	// the control stream keep connections open; QUIC's own keep-alive would add
+	// a packet to each.
+	idleTimeout      = 4 * time.Second
 	handshakeTimeout = 2 * time.Second
 	// openTimeout bounds the wait for the first message of a new stream.
 	openTimeout = 5 * time.Second
@@ -50,7 +50,6 @@
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idleTimeout,
-		KeepAlivePeriod:                keepAlive,
 		MaxIncomingStreams:             maxIncomingStreams,
 		MaxIncomingUniStreams:          -1,
 		InitialStreamReceiveWindow:     64 << 10,
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -48,9 +48,15 @@
 	// PlatformAge is the number of milliseconds since this process, or any
 	// process it heard from, last got an answer from the platform.
 	PlatformAge int64 `cbor:"5,keyasint"`
+	// ReportUptime is set, to the agent's uptime in milliseconds, when the last
+	// report on this control stream still holds but for its uptime and its
+	// sequence number, which ReportSequence replaces.
+	ReportUptime   int64  `cbor:"6,keyasint,omitempty"`
+	ReportSequence uint64 `cbor:"7,keyasint,omitempty"`
 }
 
-// Report is an agent's state. Agents push it on every change and once a second.
+// Report is an agent's state. Agents push it on changes; while it holds, a
+// heartbeat says so.
 type Report struct {
 	// Sequence grows by one with every report of one start.
 	Sequence uint64 `cbor:"1,keyasint"`
