link: let an entry VM's heartbeat answer an agent's

Cause: on an agent link the two heartbeats and the acknowledgement of each took 4 packets.

Change: an entry VM beats when it gets an agent's heartbeat, at most once a second, so its packet carries the acknowledgement. On its own it beats after 2 s.

--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -22,6 +22,12 @@
 	// requests. A pause of 1 s then neither ends the link nor makes a report
 	// older than 3 s.
 	quietInterval = 1500 * time.Millisecond
+	// answerGap is the least time between heartbeats that answer an agent's.
+	// One that answers carries the acknowledgement, which saves a packet.
+	answerGap = time.Second
+	// answerSlack is how much longer than the agent an entry VM waits before a
+	// heartbeat of its own.
+	answerSlack = 500 * time.Millisecond
 	// quietAfter is how long after its last request a link counts as quiet.
 	quietAfter = 3 * time.Second
 	// reportInterval is the longest time between full reports.
@@ -59,6 +65,9 @@
 	// belongs to the reading goroutine.
 	mismatches int
 	heartbeats int
+	// answered is when a heartbeat last answered one. It belongs to the reading
+	// goroutine.
+	answered time.Time
 	// requested is when the peer last opened a request stream, in Unix
 	// nanoseconds.
 	requested atomic.Int64
@@ -223,7 +232,10 @@
 
 // interval returns the time until the next heartbeat.
 func (p *peer) interval() time.Duration {
-	if p.quiet() && (p.manager.Report != nil || p.hello.Role == fleet.RoleAgent) {
+	switch {
+	case p.hello.Role == fleet.RoleAgent:
+		return quietInterval + answerSlack
+	case p.manager.Report != nil && p.quiet():
 		return quietInterval
 	}
 	return heartbeatInterval
--- a/internal/link/receive.go
+++ b/internal/link/receive.go
@@ -67,6 +67,10 @@
 		p.manager.store.HeardPlatform(time.Duration(age) * time.Millisecond)
 	}
 	p.compareConfiguration(heartbeat.ConfigHash)
+	if p.hello.Role == fleet.RoleAgent && time.Since(p.answered) >= answerGap {
+		p.answered = time.Now()
+		p.push()
+	}
 	p.mu.Lock()
 	first := !p.heard
 	p.heard = true
