member: divide agent_subset over the models of a large fleet

Cause: 32 agents per model are 192 links at 6 models and 1,100 agents (worked out as 6 x 32, not run), 18 KB/s sent by an entry VM at 95 B/s per link.

Ruled out: positions on a ring per zone, which spread the links evenly but move most links when one entry VM joins.

Change: an entry VM links to all agents of a group of at most agent_subset, and of a larger group to agent_subset divided by the number of groups, at least 4. Agents that have not reported yet share the rest of agent_subset, at least 4.

Conclusion: the links follow agent_subset and not the number of models. Models of at most 32 agents each still cost up to 32 links per model.

--- a/internal/member/targets.go
+++ b/internal/member/targets.go
@@ -18,6 +18,11 @@
 	fullMeshEntries = 12
 	// ringSuccessors is the number of links in the own zone beyond that.
 	ringSuccessors = 3
+	// minGroupLinks leaves a choice for routing when there are many models.
+	minGroupLinks = 4
+	// minExplored is the number of links to agents that have not reported yet.
+	// They are in addition to the others, so that every group gets known.
+	minExplored = 4
 	// readersPerZone is the number of entry VMs that watch the platform.
 	readersPerZone = 2
 	// demotion is how long a lost agent ranks behind the others of its group.
@@ -111,16 +116,28 @@
 		key := group(&r.report)
 		groups[key] = append(groups[key], r)
 	}
+	unknown := groups[""]
+	delete(groups, "")
 	var chosen []*record
 	for key, members := range groups {
-		salt := key
-		if key == "" {
-			salt = strconv.FormatInt(int64(v.now().Sub(v.started)/demotion), 10)
-		}
-		slices.SortFunc(members, func(a, b *record) int { return v.compareAgents(a, b, salt) })
-		chosen = append(chosen, members[:min(len(members), v.config.AgentSubset)]...)
+		slices.SortFunc(members, func(a, b *record) int { return v.compareAgents(a, b, key) })
+		chosen = append(chosen, members[:v.groupLinks(len(members), len(groups))]...)
 	}
-	return chosen
+	salt := strconv.FormatInt(int64(v.now().Sub(v.started)/demotion), 10)
+	slices.SortFunc(unknown, func(a, b *record) int { return v.compareAgents(a, b, salt) })
+	explored := max(minExplored, v.config.AgentSubset-len(chosen))
+	return append(chosen, unknown[:min(len(unknown), explored)]...)
+}
+
+// groupLinks returns to how many agents of a group to link: all of a group of
+// at most agent_subset agents, and of a larger one its part of agent_subset.
+// Rendezvous weights are independent for each entry VM, so each agent of a
+// group in a zone is chosen by about the same number of entry VMs.
+func (v *View) groupLinks(size, groups int) int {
+	if size <= v.config.AgentSubset {
+		return size
+	}
+	return min(size, max(minGroupLinks, v.config.AgentSubset/groups))
 }
 
 // group names the model or service of an agent, or is empty before it is known.
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -222,3 +222,36 @@
 		t.Fatal("a heartbeat that does not confirm the report refreshed it")
 	}
 }
+
+// Guards against control cost that grows with the number of models and agents,
+// and against agents that no or too few entry VMs link to.
+func TestAgentLinksAtTargetSize(t *testing.T) {
+	const entries, agents, zones, models = 380, 1100, 8, 6
+	chosenBy := map[fleet.ProcessID]int{}
+	most := 0
+	for e := range entries {
+		zone := fleet.AvailabilityZone(fmt.Sprintf("zone-%d", e%zones))
+		v := NewView(Config{Self: wire.Hello{Process: fleet.ProcessID(fmt.Sprintf("entry-%d", e)), Role: fleet.RoleEntry, Zone: zone}, AgentSubset: 32})
+		for a := range agents {
+			h := wire.Hello{
+				Process: fleet.ProcessID(fmt.Sprintf("agent-%d", a)), Start: 1, Role: fleet.RoleAgent, Address: "a",
+				Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", a/models%zones)),
+			}
+			v.Reported(h, wire.Report{Sequence: 1, Model: fmt.Sprintf("model-%d", a%models)})
+		}
+		targets := v.Targets()
+		most = max(most, len(targets))
+		for _, target := range targets {
+			chosenBy[target.Process]++
+		}
+	}
+	fewest, largest := entries, 0
+	for a := range agents {
+		n := chosenBy[fleet.ProcessID(fmt.Sprintf("agent-%d", a))]
+		fewest, largest = min(fewest, n), max(largest, n)
+	}
+	t.Logf("agent links per entry VM at most %d, entry VMs per agent %d to %d", most, fewest, largest)
+	if most > 32 || fewest < 1 {
+		t.Errorf("agent links per entry VM %d, limit 32; an agent has %d entry VMs", most, fewest)
+	}
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -99,8 +99,10 @@
 	// Default "10m", range 1s to 1h; a value of at least the longest deadline
 	// (10m) cuts no request off.
 	DrainTimeout tomlfile.Duration `toml:"drain_timeout"`
-	// AgentSubset bounds the agents per model or service that the process
-	// links to. Default 32, range 2 to 1024.
+	// AgentSubset is the number of agents of a model or service up to which the
+	// process links to all of them. Of a larger model it links to agent_subset
+	// divided by the number of models and services, at least to 4. Default 32,
+	// range 2 to 1024.
 	AgentSubset int `toml:"agent_subset"`
 	// RetryRatio is the share of requests that may be retried. Default 0.1,
 	// range 0 to 1.
