link: keep agents from forwarding documents

Cause: an agent that got a new document sent it to every other linked entry VM, which had it from its peers already.

Change: only entry VMs forward; an agent still answers a comparison.

It still gets one copy from each entry VM that links to it.

--- a/internal/link/configuration.go
+++ b/internal/link/configuration.go
@@ -1,6 +1,9 @@
 package link
 
-import "github.com/coltsfootbay/coltsfootbay/internal/wire"
+import (
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
 
 const (
 	// documentsBytes is the size at which ConfigDocs is split. With one more
@@ -74,5 +77,9 @@
 
 func (p *peer) receiveDocuments(message *wire.ConfigDocs) {
 	news := p.manager.store.Merge(message.Documents, message.StoreRevision)
-	p.manager.forward(news, message.StoreRevision, p)
+	// Entry VMs push to each other. An agent passes documents on only when a
+	// heartbeat shows that an entry VM lacks them.
+	if p.manager.View.Self().Role == fleet.RoleEntry {
+		p.manager.forward(news, message.StoreRevision, p)
+	}
 }
--- a/internal/link/report_test.go
+++ b/internal/link/report_test.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,3 +35,38 @@
 	agent.Push()
 	eventually(t, "leaving known at once", 500*time.Millisecond, func() bool { return entry.View.Agents()[0].Leaving })
 }
+
+// Guards against every agent sending each new document back to all entry VMs
+// that it has a link to.
+func TestAgentsDoNotForwardDocuments(t *testing.T) {
+	id := newIdentity(t)
+	first := start(t, id, fleet.RoleEntry, 0, nil)
+	second := start(t, id, fleet.RoleEntry, 1, nil, first.View.Self().Address)
+	all := []*process{first, second}
+	agents := []*process{}
+	for i := range 8 {
+		agent := startAgent(t, id, i, nil)
+		agents = append(agents, agent)
+		for _, e := range all {
+			e.View.Gossip([]wire.Member{{Hello: agent.View.Self(), Count: 1}})
+		}
+	}
+	eventually(t, "all linked", 8*time.Second, func() bool { return linkEnds(agents) == 16 && linkEnds(all) == 18 })
+	const size = 100 << 10
+	before := traffic(agents)
+	first.PublishDocuments(first.docs.Merge([]wire.Document{{Name: "accounts/a", Revision: 3, Body: strings.Repeat("x", size)}}, 3), 3)
+	eventually(t, "document everywhere", 3*time.Second, func() bool {
+		for _, p := range append(agents, second) {
+			if p.docs.Hash() != first.docs.Hash() {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(200 * time.Millisecond)
+	sent := traffic(agents) - before
+	t.Logf("8 agents sent %d bytes", sent)
+	if sent > size {
+		t.Errorf("8 agents sent %d bytes for a document of %d that both entry VMs had", sent, size)
+	}
+}
