dynamic: keep the parsed accounts of unchanged documents

Cause: each change parsed all documents again. With 39,000 accounts in 39 documents a change took 178 ms of CPU in an entry process, and one of two entry processes did not have the last of 39 documents published in a row after 3.1 s.

Change: a Computer keeps the parsed accounts per document; a change parses what changed.

--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"github.com/coltsfootbay/coltsfootbay/internal/dynamic"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
@@ -99,7 +98,7 @@
 	before := m.goodBefore()
 	m.publish(storeRevision)
 	if m.configurationChanged(before) {
-		m.store.effective.Store(dynamic.Compute(m.store.inForce()))
+		m.store.effective.Store(m.store.computer.Compute(m.store.inForce()))
 	}
 	m.publishVMs()
 	if len(m.order) > 0 {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -65,6 +65,8 @@
 	// merging serialises merges, so that mu is never held during validation
 	// and computation.
 	merging sync.Mutex
+	// computer belongs to the holder of merging.
+	computer *dynamic.Computer
 
 	mu       sync.Mutex
 	records  map[string]*record
@@ -81,7 +83,7 @@
 
 // NewStore returns an empty store that records what it accepts and rejects.
 func NewStore(recorder *events.Recorder) *Store {
-	s := &Store{recorder: recorder, records: map[string]*record{}, changed: make(chan struct{})}
+	s := &Store{recorder: recorder, computer: dynamic.NewComputer(), records: map[string]*record{}, changed: make(chan struct{})}
 	s.effective.Store(dynamic.Compute(nil))
 	return s
 }
--- a/internal/dynamic/compute.go
+++ b/internal/dynamic/compute.go
@@ -17,8 +17,12 @@
 // same account id or key hash, the account of the document with the lower
 // revision is in force, and the lower name at equal revisions. An account with
 // an unknown template claims neither its id nor its key.
-func Compute(documents []wire.Document) *Effective {
+func Compute(documents []wire.Document) *Effective { return NewComputer().Compute(documents) }
+
+// compute builds the configuration with the parsed documents that c keeps.
+func (c *Computer) compute(documents []wire.Document) *Effective {
 	b := newBuilder()
+	b.computer = c
 	for _, d := range inOrder(documents) {
 		b.add(d)
 	}
@@ -43,6 +47,7 @@
 }
 
 type builder struct {
+	computer  *Computer
 	effective *Effective
 	adapters  map[string]bool
 	accounts  []wire.Document
@@ -157,10 +162,12 @@
 func (b *builder) addAccounts() {
 	b.makeAccountMaps()
 	for _, d := range b.accounts {
-		var a accountsSchema
-		if b.decode(d, &a) {
-			b.addDocumentAccounts(d.Name, a.Accounts)
+		accounts, ok := b.computer.accounts(d)
+		if !ok {
+			b.inactive(d.Name, "document", "does not decode")
+			continue
 		}
+		b.addDocumentAccounts(d.Name, accounts)
 	}
 }
 
@@ -175,22 +182,21 @@
 	b.effective.ByID = make(map[fleet.ClientAccount]*Account, n)
 }
 
-func (b *builder) addDocumentAccounts(document string, accounts []accountSchema) {
+func (b *builder) addDocumentAccounts(document string, accounts []parsedAccount) {
 	// One array per document saves the allocator's overhead per account.
 	array := make([]Account, 0, len(accounts))
 	for _, a := range accounts {
-		template, ok := b.effective.Templates[a.Template]
+		template, ok := b.effective.Templates[a.template]
 		if !ok {
-			b.inactive(document, "account "+a.ID, "template "+a.Template+" does not exist")
+			b.inactive(document, "account "+a.id, "template "+a.template+" does not exist")
 			continue
 		}
-		key, err := parseKeyHash(a.KeySHA256)
-		if err != nil || b.taken(document, a.ID, key) {
+		if b.taken(document, a.id, a.key) {
 			continue
 		}
-		array = append(array, Account{ID: fleet.ClientAccount(a.ID), Template: template, Share: shareOf(a, template)})
+		array = append(array, Account{ID: fleet.ClientAccount(a.id), Template: template, Share: shareOf(a, template)})
 		added := &array[len(array)-1]
-		b.effective.Accounts[key] = added
+		b.effective.Accounts[a.key] = added
 		b.effective.ByID[added.ID] = added
 	}
 }
@@ -207,9 +213,9 @@
 	return false
 }
 
-func shareOf(a accountSchema, t *Template) float64 {
-	if a.Share != nil {
-		return *a.Share
+func shareOf(a parsedAccount, t *Template) float64 {
+	if a.ownShare {
+		return a.share
 	}
 	return t.Share
 }
