Bound the garbage of the daemons and read listings by document

Cause: an entry process with 39,000 accounts peaked at 64 MiB.

Change: a listing is decoded one document at a time, and the daemons set the collector to 50% in provision unless GOGC is set.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/ledger"
 	"github.com/coltsfootbay/coltsfootbay/internal/link"
 	"github.com/coltsfootbay/coltsfootbay/internal/member"
+	"github.com/coltsfootbay/coltsfootbay/internal/memory"
 	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/queue"
@@ -113,6 +114,7 @@
 
 // provision loads the keys and binds the listeners.
 func (a *agent) provision() error {
+	memory.Provision()
 	keys, err := ticket.OpenFile(a.config.Keys.Ticket)
 	if err != nil {
 		return err
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -39,6 +39,58 @@
 	Documents []wire.Document `json:"documents"`
 }
 
+// decode reads the answer one document at a time, because decoding 5 MB at once
+// needs three times as much for the decoder's buffer.
+func (a *answer) decode(d *json.Decoder) error {
+	if err := expect(d, json.Delim('{')); err != nil {
+		return err
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return err
+		}
+		switch key {
+		case "revision":
+			err = d.Decode(&a.Revision)
+		case "documents":
+			err = a.decodeDocuments(d)
+		default:
+			err = d.Decode(&json.RawMessage{})
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return expect(d, json.Delim('}'))
+}
+
+func (a *answer) decodeDocuments(d *json.Decoder) error {
+	token, err := d.Token()
+	if err != nil || token == nil {
+		return err
+	}
+	if token != json.Delim('[') {
+		return fmt.Errorf("documents are %v and not a list", token)
+	}
+	for d.More() {
+		var document wire.Document
+		if err := d.Decode(&document); err != nil {
+			return err
+		}
+		a.Documents = append(a.Documents, document)
+	}
+	return expect(d, json.Delim(']'))
+}
+
+func expect(d *json.Decoder, wanted json.Delim) error {
+	token, err := d.Token()
+	if err == nil && token != wanted {
+		err = fmt.Errorf("%v instead of %v", token, wanted)
+	}
+	return err
+}
+
 type vmAnswer struct {
 	Revision uint64 `json:"revision"`
 	VMs      []VM   `json:"vms"`
@@ -109,7 +161,13 @@
 
 func decodeBounded(body io.Reader, path string, limit int64, target any) error {
 	bounded := &io.LimitedReader{R: body, N: limit + 1}
-	err := json.NewDecoder(bounded).Decode(target)
+	decoder := json.NewDecoder(bounded)
+	var err error
+	if a, ok := target.(*answer); ok {
+		err = a.decode(decoder)
+	} else {
+		err = decoder.Decode(target)
+	}
 	if bounded.N <= 0 {
 		return fmt.Errorf("GET %s: the answer exceeds %d bytes", path, limit)
 	}
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/link"
 	"github.com/coltsfootbay/coltsfootbay/internal/member"
+	"github.com/coltsfootbay/coltsfootbay/internal/memory"
 	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
@@ -68,6 +69,7 @@
 
 // provision loads the keys and binds the listeners.
 func provision(c settings.EntryConfig, w io.Writer) (*process, error) {
+	memory.Provision()
 	p := newProcess(c, w)
 	if err := p.loadAndBind(); err != nil {
 		return nil, errors.Join(err, p.cleanup())
