harness: claim ports outside the range of outgoing connections

Cause: with 4 fleets at a time on a busy machine, 4 of about 10 test runs had a daemon that could not bind, with 'address already in use': the kernel gave the probed port to an outgoing connection or to another fleet before the bind.

Change: ports come from slots below 32768, and a fleet holds a listener on the first port of each of its slots.

--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -64,7 +64,7 @@
 	if o.ReadyTimeout == 0 {
 		o.ReadyTimeout = defaultReadyTimeout
 	}
-	f := &Fleet{Dir: o.Dir, options: o, ports: ports{used: map[int]bool{}}}
+	f := &Fleet{Dir: o.Dir, options: o}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -489,6 +489,7 @@
 		closeAll(a.Process, a.Backend, a.Relay, a.BackendFaults)
 	}
 	closeAll(f.Platform, nil, nil, nil)
+	f.ports.release()
 	if f.removeDir {
 		_ = os.RemoveAll(f.Dir)
 	}
--- a/integration/harness/harness_test.go
+++ b/integration/harness/harness_test.go
@@ -22,7 +22,7 @@
 // Guards against settings that the daemons would refuse.
 func TestWrittenSettings(t *testing.T) {
 	is := is.New(t)
-	f := &Fleet{Dir: t.TempDir(), PlatformURL: "http://127.0.0.1:1", ports: ports{used: map[int]bool{}},
+	f := &Fleet{Dir: t.TempDir(), PlatformURL: "http://127.0.0.1:1",
 		options: Options{Bin: "bin", Zones: []string{"zone-1", "zone-2"}, UDPFaults: true, TCPFaults: true}}
 	f.Platform = newProcess(f.Dir, "platform", "none")
 	defer f.Close()
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -183,45 +184,76 @@
 	return fmt.Errorf("process %s does not listen on %s after %s:\n%s", p.Name, address, timeout, p.Log())
 }
 
-// ports hands out free loopback ports and never the same one twice, because the
-// kernel may offer a port again before its process has bound it.
-type ports struct{ used map[int]bool }
+const (
+	// firstPort to lastPort lie below the range from which Linux takes the local
+	// ports of outgoing connections. Ports from that range were taken by
+	// connections between the probe and the bind, in 4 of 10 fleets that started
+	// beside others.
+	firstPort = 10240
+	lastPort  = 32767
+	// slotPorts is the number of ports that a fleet claims at a time.
+	slotPorts = 128
+)
+
+// ports hands out free loopback ports and never the same one twice. It claims
+// slots of ports and holds a listener on the first port of each, so that fleets
+// of other processes choose other slots.
+type ports struct {
+	claims    []net.Listener
+	next, end int
+}
 
 var errNoPort = errors.New("found no free port")
 
 func (p *ports) tcp() (string, error) {
-	return p.pick(func() (int, error) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	return p.pick(func(address string) error {
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().(*net.TCPAddr).Port, nil
+		return l.Close()
 	})
 }
 
 func (p *ports) udp() (string, error) {
-	return p.pick(func() (int, error) {
-		c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	return p.pick(func(address string) error {
+		c, err := net.ListenPacket("udp", address)
 		if err != nil {
-			return 0, err
+			return err
 		}
-		defer func() { _ = c.Close() }()
-		return c.LocalAddr().(*net.UDPAddr).Port, nil
+		return c.Close()
 	})
 }
 
-func (p *ports) pick(probe func() (int, error)) (string, error) {
-	const tries = 100
+func (p *ports) pick(probe func(address string) error) (string, error) {
+	const tries = 1000
 	for range tries {
-		port, err := probe()
-		if err != nil {
-			return "", err
+		if p.next == p.end {
+			p.claim()
+			continue
 		}
-		if !p.used[port] {
-			p.used[port] = true
-			return fmt.Sprintf("127.0.0.1:%d", port), nil
+		address := loopback(p.next)
+		p.next++
+		if probe(address) == nil {
+			return address, nil
 		}
 	}
 	return "", errNoPort
 }
+
+// claim tries to take a random slot.
+func (p *ports) claim() {
+	first := firstPort + slotPorts*rand.N((lastPort-firstPort)/slotPorts)
+	if l, err := net.Listen("tcp", loopback(first)); err == nil {
+		p.claims = append(p.claims, l)
+		p.next, p.end = first+1, first+slotPorts
+	}
+}
+
+func (p *ports) release() {
+	for _, l := range p.claims {
+		_ = l.Close()
+	}
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
