--- a/integration/harness/group.go
+++ b/integration/harness/group.go
@@ -17,7 +17,8 @@
 
 // StartGroup starts a stand-in group. Its log goes to dir.
 func StartGroup(bin, dir string, ranks int, step time.Duration) (*Group, error) {
-	ports := ports{used: map[int]bool{}}
+	var ports ports
+	defer ports.release()
 	address, err := ports.tcp()
 	if err != nil {
 		return nil, err
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -6,12 +6,12 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -184,23 +184,24 @@
 	return fmt.Errorf("process %s does not listen on %s after %s:\n%s", p.Name, address, timeout, p.Log())
 }
 
-// The ports of fleets are below the range from which the kernel takes ports for
-// outgoing connections: one of those took a port between its probe and its
-// process's start in 2 of about 100 fleets. Test processes that run at the same
-// time begin at different ports.
 const (
-	firstPort       = 10000
-	portCount       = 22000
-	portsPerProcess = 128
+	// firstPort to lastPort lie below the range from which Linux takes the local
+	// ports of outgoing connections. Ports from that range were taken by
+	// connections between the probe and the bind, in 4 of 10 fleets that started
+	// beside others.
+	firstPort = 10240
+	lastPort  = 32767
+	// slotPorts is the number of ports that a fleet claims at a time.
+	slotPorts = 128
 )
 
-var portTurn atomic.Int64
-
-func init() { portTurn.Store(int64(os.Getpid()) * portsPerProcess) }
-
-// ports hands out free loopback ports and never the same one twice, because a
-// port stays free until its process has bound it.
-type ports struct{ used map[int]bool }
+// ports hands out free loopback ports and never the same one twice. It claims
+// slots of ports and holds a listener on the first port of each, so that fleets
+// of other processes choose other slots.
+type ports struct {
+	claims    []net.Listener
+	next, end int
+}
 
 var errNoPort = errors.New("found no free port")
 
@@ -227,13 +228,32 @@
 func (p *ports) pick(probe func(address string) error) (string, error) {
 	const tries = 1000
 	for range tries {
-		port := firstPort + int(portTurn.Add(1)%portCount)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if p.used[port] || probe(address) != nil {
+		if p.next == p.end {
+			p.claim()
 			continue
 		}
-		p.used[port] = true
-		return address, nil
+		address := loopback(p.next)
+		p.next++
+		if probe(address) == nil {
+			return address, nil
+		}
 	}
 	return "", errNoPort
 }
+
+// claim tries to take a random slot.
+func (p *ports) claim() {
+	first := firstPort + slotPorts*rand.N((lastPort-firstPort)/slotPorts)
+	if l, err := net.Listen("tcp", loopback(first)); err == nil {
+		p.claims = append(p.claims, l)
+		p.next, p.end = first+1, first+slotPorts
+	}
+}
+
+func (p *ports) release() {
+	for _, l := range p.claims {
+		_ = l.Close()
+	}
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- /dev/null
+++ b/internal/link/report_test.go
@@ -0,0 +1,72 @@
+package link
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// Guards against an entry VM without requests that learns late that an agent
+// leaves, and against an idle agent that drops out of routing because it sends
+// its full report rarely.
+func TestQuietLinkKeepsReportAndTellsLeaving(t *testing.T) {
+	id := newIdentity(t)
+	entry := start(t, id, fleet.RoleEntry, 0, nil)
+	var sequence atomic.Uint64
+	var leaving atomic.Bool
+	agent := start(t, id, fleet.RoleAgent, 0, func(c *Config) {
+		began := time.Now()
+		c.Report = func() wire.Report {
+			return wire.Report{Sequence: sequence.Add(1), Uptime: time.Since(began).Milliseconds() + 1, Model: "m", Leaving: leaving.Load()}
+		}
+	})
+	entry.View.Gossip([]wire.Member{{Hello: agent.View.Self(), Count: 1}})
+	eventually(t, "agent reported", 4*time.Second, func() bool { return len(entry.View.Agents()) == 1 })
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if len(entry.View.Agents()) != 1 {
+			t.Fatal("the report of an idle agent expired")
+		}
+	}
+	leaving.Store(true)
+	agent.Push()
+	eventually(t, "leaving known at once", 500*time.Millisecond, func() bool { return entry.View.Agents()[0].Leaving })
+}
+
+// Guards against every agent sending each new document back to all entry VMs
+// that it has a link to.
+func TestAgentsDoNotForwardDocuments(t *testing.T) {
+	id := newIdentity(t)
+	first := start(t, id, fleet.RoleEntry, 0, nil)
+	second := start(t, id, fleet.RoleEntry, 1, nil, first.View.Self().Address)
+	all := []*process{first, second}
+	agents := []*process{}
+	for i := range 8 {
+		agent := startAgent(t, id, i, nil)
+		agents = append(agents, agent)
+		for _, e := range all {
+			e.View.Gossip([]wire.Member{{Hello: agent.View.Self(), Count: 1}})
+		}
+	}
+	eventually(t, "all linked", 8*time.Second, func() bool { return linkEnds(agents) == 16 && linkEnds(all) == 18 })
+	const size = 100 << 10
+	before := traffic(agents)
+	first.PublishDocuments(first.docs.Merge([]wire.Document{{Name: "accounts/a", Revision: 3, Body: strings.Repeat("x", size)}}, 3), 3)
+	eventually(t, "document everywhere", 3*time.Second, func() bool {
+		for _, p := range append(agents, second) {
+			if p.docs.Hash() != first.docs.Hash() {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(200 * time.Millisecond)
+	sent := traffic(agents) - before
+	t.Logf("8 agents sent %d bytes", sent)
+	if sent > size {
+		t.Errorf("8 agents sent %d bytes for a document of %d that both entry VMs had", sent, size)
+	}
+}
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -202,3 +202,56 @@
 	}
 	is.Equal(len(tried), 12)
 }
+
+// Guards against a report that is out of date although heartbeats confirm it,
+// and against work that routing counts twice because the sequence stands still.
+func TestHeartbeatConfirmsReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	v := newView(Config{Self: wire.Hello{Process: "entry-1", Role: fleet.RoleEntry}}, func() time.Time { return now })
+	h := wire.Hello{Process: "agent-1", Start: 1, Role: fleet.RoleAgent}
+	v.Reported(h, wire.Report{Sequence: 4, Uptime: 100, Model: "small", Running: 2})
+	now = now.Add(2 * time.Second)
+	v.Heard(h, wire.Heartbeat{Count: 1, ReportUptime: 2100, ReportSequence: 5})
+	now = now.Add(2 * time.Second)
+	agents := v.Agents()
+	if len(agents) != 1 || agents[0].Uptime() != 4100 || agents[0].Report.Sequence != 5 || agents[0].Report.Running != 2 {
+		t.Fatalf("agents %+v", agents)
+	}
+	v.Heard(h, wire.Heartbeat{Count: 2})
+	if now = now.Add(1500 * time.Millisecond); len(v.Agents()) != 0 {
+		t.Fatal("a heartbeat that does not confirm the report refreshed it")
+	}
+}
+
+// Guards against control cost that grows with the number of models and agents,
+// and against agents that no or too few entry VMs link to.
+func TestAgentLinksAtTargetSize(t *testing.T) {
+	const entries, agents, zones, models = 380, 1100, 8, 6
+	chosenBy := map[fleet.ProcessID]int{}
+	most := 0
+	for e := range entries {
+		zone := fleet.AvailabilityZone(fmt.Sprintf("zone-%d", e%zones))
+		v := NewView(Config{Self: wire.Hello{Process: fleet.ProcessID(fmt.Sprintf("entry-%d", e)), Role: fleet.RoleEntry, Zone: zone}, AgentSubset: 32})
+		for a := range agents {
+			h := wire.Hello{
+				Process: fleet.ProcessID(fmt.Sprintf("agent-%d", a)), Start: 1, Role: fleet.RoleAgent, Address: "a",
+				Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", a/models%zones)),
+			}
+			v.Reported(h, wire.Report{Sequence: 1, Model: fmt.Sprintf("model-%d", a%models)})
+		}
+		targets := v.Targets()
+		most = max(most, len(targets))
+		for _, target := range targets {
+			chosenBy[target.Process]++
+		}
+	}
+	fewest, largest := entries, 0
+	for a := range agents {
+		n := chosenBy[fleet.ProcessID(fmt.Sprintf("agent-%d", a))]
+		fewest, largest = min(fewest, n), max(largest, n)
+	}
+	t.Logf("agent links per entry VM at most %d, entry VMs per agent %d to %d", most, fewest, largest)
+	if most > 32 || fewest < 1 {
+		t.Errorf("agent links per entry VM %d, limit 32; an agent has %d entry VMs", most, fewest)
+	}
+}
