integration: wait for links to an agent's present start before a ticket is taken

Cause: TestOnceAgentKilledAtEachPoint failed once in make test beside other load (during_run got not_run instead of may_have_run, before_answer 0 runs instead of 1). The agent had been restarted by the step before; an entry VM that had not linked the new start yet issued a ticket for the old one, which then truly did not run. Ruled out: a false verdict; other_start with Ticket-Attempt: 1 is a true not_run. No expectation changed. Conclusion: the precondition of the test was not waited for.

--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -427,6 +429,39 @@
 	return nil
 }
 
+// processStart is what a process says of itself and of others.
+type processStart struct {
+	Process string `json:"process"`
+	Start   string `json:"start"`
+	Linked  bool   `json:"linked"`
+}
+
+// WaitLinked waits until every running entry VM has a link to the present start
+// of an agent. Until then a ticket can still name the start before.
+func (f *Fleet) WaitLinked(ctx context.Context, a *Agent) error {
+	return poll(ctx, func() error {
+		var own processStart
+		if err := f.Admin(ctx, http.MethodGet, a.Settings.AdminAddress, "/admin/v1/status", nil, &own); err != nil {
+			return err
+		}
+		for _, e := range f.Entries {
+			if e.Running() && !f.linked(ctx, e, own) {
+				return fmt.Errorf("%s has no link to the present start of %s", e.Name, a.Name)
+			}
+		}
+		return nil
+	})
+}
+
+func (f *Fleet) linked(ctx context.Context, e *Entry, agent processStart) bool {
+	var members []processStart
+	if err := f.Admin(ctx, http.MethodGet, e.Settings.AdminAddress, "/admin/v1/members", nil, &members); err != nil {
+		return false
+	}
+	agent.Linked = true
+	return slices.Contains(members, agent)
+}
+
 func (f *Fleet) runningEntries() int {
 	n := 0
 	for _, e := range f.Entries {
