--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build generate fmt-check vet lint unit integration fuzz test demo prove bench
+.PHONY: all build generate fmt-check vet lint unit integration fuzz known-red test demo prove bench
 
 all: build
 
@@ -44,7 +44,11 @@
 	$(GO) test -run='^$$' -fuzz='^FuzzVerify$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/ticket
 	$(GO) test -run='^$$' -fuzz='^FuzzRead$$' -fuzztime=$(FUZZ_TIME) -parallel=$(FUZZ_WORKERS) ./internal/wire
 
-test: fmt-check vet lint build unit integration fuzz
+# known-red prints the tests that fail because of a fault that is not fixed yet.
+known-red:
+	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
+
+test: fmt-check vet lint build unit integration fuzz known-red
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
--- a/integration/once_points_test.go
+++ b/integration/once_points_test.go
@@ -47,8 +47,10 @@
 	if err := b.fleet.WaitReady(ctx); err != nil {
 		b.t.Fatal(err)
 	}
-	if err := b.fleet.WaitLinked(ctx, b.agent); err != nil {
-		b.t.Fatal(err)
+	for _, a := range b.fleet.Agents {
+		if err := b.fleet.WaitLinked(ctx, a); err != nil {
+			b.t.Fatal(err)
+		}
 	}
 	g := &harness.Filing{ID: id, Service: "records", Account: "acme"}
 	g.Ticket, _ = b.fleet.Entry(entry, g.Account).Ticket(ctx, g.Service, "")
