--- a/integration/config_change_test.go
+++ b/integration/config_change_test.go
@@ -32,6 +32,15 @@
 }
 
 func startChanges(t *testing.T) *changes {
+	t.Helper()
+	c := startSmallFleet(t, 9)
+	c.sampler = startSampler(t, c.fleet)
+	return c
+}
+
+// startSmallFleet starts entry VMs and three agents in three zones, behind
+// proxies, without a sampler.
+func startSmallFleet(t *testing.T, entries int) *changes {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(amount(60, 400))*time.Second)
 	t.Cleanup(cancel)
@@ -40,7 +49,7 @@
 		agents = append(agents, harness.AgentSpec{Kind: settings.KindModel, Backend: "small"})
 	}
 	f, err := harness.Start(ctx, harness.Options{
-		Bin: *binaries, Zones: []string{"zone-1", "zone-2", "zone-3"}, Entries: 9, Agents: agents,
+		Bin: *binaries, Zones: []string{"zone-1", "zone-2", "zone-3"}, Entries: entries, Agents: agents,
 		Models:    []harness.ModelSpec{{Name: "small"}},
 		Templates: []harness.TemplateSpec{{Name: "routine", Rank: "middle", Share: 0.5, Models: []string{"small"}}},
 		Accounts:  []harness.AccountSpec{{ID: "account-1", Key: "key-1", Template: "routine"}},
@@ -50,7 +59,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Close)
-	return &changes{T: t, ctx: ctx, fleet: f, sampler: startSampler(t, f), worst: map[string]time.Duration{}}
+	return &changes{T: t, ctx: ctx, fleet: f, worst: map[string]time.Duration{}}
 }
 
 func (c *changes) must(err error) {
--- a/integration/membership_test.go
+++ b/integration/membership_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/integration/harness"
-	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 )
 
 const (
@@ -44,26 +43,10 @@
 
 func startMembership(t *testing.T) *membership {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(amount(60, 400))*time.Second)
-	t.Cleanup(cancel)
-	var agents []harness.AgentSpec
-	for range 3 {
-		agents = append(agents, harness.AgentSpec{Kind: settings.KindModel, Backend: "small"})
-	}
-	f, err := harness.Start(ctx, harness.Options{
-		Bin: *binaries, Zones: []string{"zone-1", "zone-2", "zone-3"}, Entries: 6, Agents: agents,
-		Models:    []harness.ModelSpec{{Name: "small"}},
-		Templates: []harness.TemplateSpec{{Name: "routine", Rank: "middle", Share: 0.5, Models: []string{"small"}}},
-		Accounts:  []harness.AccountSpec{{ID: "account-1", Key: "key-1", Template: "routine"}},
-		UDPFaults: true, TCPFaults: true,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.Close)
+	c := startSmallFleet(t, 6)
 	sampling, stop := context.WithCancel(context.Background())
-	m := &membership{changes: &changes{T: t, ctx: ctx, fleet: f}, stop: stop, usable: map[string]map[string]bool{}, lost: map[string]int{}}
-	for _, e := range f.Entries {
+	m := &membership{changes: c, stop: stop, usable: map[string]map[string]bool{}, lost: map[string]int{}}
+	for _, e := range c.fleet.Entries {
 		m.done.Add(1)
 		go func() {
 			defer m.done.Done()
--- a/internal/agent/maps.go
+++ b/internal/agent/maps.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,8 +18,6 @@
 // reasonEngineUnreachable answers a call whose effect on the engine is unknown.
 const reasonEngineUnreachable = "engine_unreachable"
 
-var errNoRankLink = errors.New("no link to the rank's agent")
-
 // newCoordinator returns the coordinator of the group in which this agent has
 // rank 0.
 func (a *agent) newCoordinator() *expertmap.Coordinator {
@@ -65,23 +62,8 @@
 	if agent == a.process {
 		return a.mapCall(ctx, m), nil
 	}
-	conn, _, ok := a.manager.Agent(agent)
-	if !ok {
-		return nil, errNoRankLink
-	}
-	s, err := conn.OpenStream(ctx, wire.StreamRequest)
-	if err != nil {
-		return nil, err
-	}
-	defer context.AfterFunc(ctx, s.Abort)()
-	if err := s.Send(m); err != nil {
-		s.Abort()
-		return nil, err
-	}
-	s.CloseSend()
-	answer, err := s.Receive()
+	answer, err := a.manager.Call(ctx, agent, m)
 	if err != nil {
-		s.Abort()
 		return nil, err
 	}
 	if answer, ok := answer.(*wire.MapAnswer); ok {
