--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -102,11 +102,12 @@
 	a.store = config.NewStore(a.recorder)
 	a.server = newServer(c.BackendServer)
 	a.ledger = ledger.New(ledger.Options{Agent: a.process, Start: a.start, Uptime: a.uptime, Bytes: c.LedgerBytes})
+	ordering, _ := queue.ParseOrdering(c.Queue.Ordering) // settings allow only known names
 	a.queue = queue.New(queue.Options{
 		Items:  c.Queue.Items,
 		Bytes:  c.Queue.Bytes,
 		Floors: [fleet.RankCount]float64{fleet.RankMiddle: c.Queue.MiddleFloor, fleet.RankBottom: c.Queue.BottomFloor},
-		Rate:   a.rate.perSecond,
+		Rate:   a.rate.perSecond, Ordering: ordering,
 	})
 	return a
 }
--- a/internal/queue/account.go
+++ b/internal/queue/account.go
@@ -18,6 +18,7 @@
 	items   [fleet.RankCount][]*Item
 	running int
 	served  window
+	bucket  bucket
 }
 
 func (q *Queue) account(i *Item) *account {
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -14,7 +14,7 @@
 // pick returns the next item and the class it is charged to.
 func (q *Queue) pick(now time.Time) (*Item, fleet.Rank) {
 	switch q.options.Ordering {
-	case FIFO:
+	case FIFO, TokenBuckets:
 		return q.first(func(a, b *Item) bool { return a.sequence < b.sequence })
 	case Strict:
 		return q.first(func(a, b *Item) bool {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -14,14 +14,26 @@
 // Ordering selects how waiting items are ordered.
 type Ordering int
 
-// Orderings. FIFO and Strict are baselines for measurements: they refuse only
-// at the bounds of the queue.
+// Orderings. All but Fair are baselines for measurements. FIFO and Strict
+// refuse only at the bounds of the queue. TokenBuckets refuses what is beyond
+// an account's share of the rate and serves the rest in order of arrival.
 const (
 	Fair Ordering = iota
 	FIFO
 	Strict
+	TokenBuckets
 )
 
+// orderingNames are the names that settings use.
+var orderingNames = map[string]Ordering{"fair": Fair, "fifo": FIFO, "strict": Strict, "token_buckets": TokenBuckets}
+
+// ParseOrdering returns the ordering of a name; false means that no ordering
+// has the name.
+func ParseOrdering(name string) (Ordering, bool) {
+	o, ok := orderingNames[name]
+	return o, ok
+}
+
 // minWeight keeps an account without a share from waiting for ever.
 const minWeight = 0.001
 
@@ -124,6 +136,9 @@
 	if e := q.refuseEarly(i, now); e != nil {
 		return e
 	}
+	if e := q.refuseBucket(i, now); e != nil {
+		return e
+	}
 	if !q.makeRoom(i) {
 		return fullError()
 	}
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -200,3 +200,24 @@
 	q.Done(clean, 0)
 	is.Equal(q.Stats().Tokens, int64(0))
 }
+
+// Guards against a token bucket baseline that limits nothing or refuses an
+// account within its share.
+func TestTokenBucketsLimitEachAccount(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Ordering: TokenBuckets, Rate: func() float64 { return 1000 }})
+	push := func(account fleet.ClientAccount, n int) (refused int) {
+		for range n {
+			if e := q.Push(c.item(account, 0.5, fleet.RankMiddle)); e != nil {
+				is.Equal(e.Verdict, verdict.NotRun)
+				is.True(e.RetryAfter > 0)
+				refused++
+			}
+		}
+		return refused
+	}
+	is.Equal(push("large", 20), 10) // 2 s at 500 tokens/s hold 10 items of 100 tokens
+	is.Equal(push("small", 5), 0)
+	c.now = c.now.Add(time.Second)
+	is.Equal(push("large", 10), 5)
+}
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -45,6 +45,10 @@
 	// Defaults 0.2 and 0.1, range 0 to 0.5 each.
 	MiddleFloor float64 `toml:"middle_floor"`
 	BottomFloor float64 `toml:"bottom_floor"`
+	// Ordering is how waiting requests are ordered, for comparison only:
+	// "fair", "fifo", "strict" or "token_buckets". Default "fair"; the others
+	// ignore the floors, and "fifo" and "strict" the shares as well.
+	Ordering string `toml:"ordering"`
 }
 
 // AgentConfig holds the settings of an agent process.
@@ -94,7 +98,7 @@
 		TicketLinger:      tomlfile.Duration(time.Minute),
 		DrainTimeout:      tomlfile.Duration(10 * time.Minute),
 		BackendServer:     BackendServer{Slots: 16, ProbeInterval: tomlfile.Duration(250 * time.Millisecond)},
-		Queue:             Queue{Items: 512, Bytes: 8 << 20, MiddleFloor: 0.2, BottomFloor: 0.1},
+		Queue:             Queue{Items: 512, Bytes: 8 << 20, MiddleFloor: 0.2, BottomFloor: 0.1, Ordering: "fair"},
 		Limits:            DefaultLimits(),
 	}
 }
@@ -128,4 +132,5 @@
 	tomlfile.InRange(f, "queue.bytes", q.Bytes, 64<<10, 1<<30)
 	tomlfile.InRange(f, "queue.middle_floor", q.MiddleFloor, 0, 0.5)
 	tomlfile.InRange(f, "queue.bottom_floor", q.BottomFloor, 0, 0.5)
+	f.OneOf("queue.ordering", q.Ordering, "fair", "fifo", "strict", "token_buckets")
 }
