--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,8 @@
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
+
+# bench measures the scenarios in under 10 minutes. Other load on the machine
+# spoils the latencies.
+bench: build
+	$(BIN)/bench --bin $(BIN) --json $(BIN)/bench.json bench/*.toml
