Run urgent work beyond the batch of engines that preempt

Cause: in a bottom-rank flood every slot holds a whole answer of bottom work, and requests that began together end together, so the first token of the top rank waited for up to a whole answer. Ruled out: the order in the queue, because strict priority had the same wait. Change: top-rank work within its share may run beyond the slots, by half of them; engines honour the priority field. Plain services keep their slots. The middle rank pays for it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,7 @@
 		Bytes:  c.Queue.Bytes,
 		Floors: [fleet.RankCount]float64{fleet.RankMiddle: c.Queue.MiddleFloor, fleet.RankBottom: c.Queue.BottomFloor},
 		Rate:   a.rate.perSecond, Ordering: ordering,
+		Preempting: c.BackendServer.Kind == settings.KindModel,
 	})
 	return a
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -44,6 +44,9 @@
 	Bytes int64
 	// Slots is how many items run at a time.
 	Slots int
+	// Preempting tells that the server interrupts less urgent work for more
+	// urgent work, so that top-rank work need not wait for a slot.
+	Preempting bool
 	// Floors holds each rank's part of token time, from 0 to 1.
 	Floors [fleet.RankCount]float64
 	// Rate returns the server's tokens per second; 0 means unknown.
@@ -242,6 +245,26 @@
 		}
 		q.start(i, class)
 	}
+	for q.stats.Running < q.options.Slots+q.urgentSlots() {
+		i := q.pickClass(fleet.RankTop, q.withinShare)
+		if i == nil {
+			return
+		}
+		q.start(i, fleet.RankTop)
+	}
+}
+
+// urgentDivisor sets how many items of the top rank may run beyond the slots:
+// one for so many slots. With answers of one length, a batch that filled at
+// once also ends at once, and urgent work waited for up to a whole answer.
+const urgentDivisor = 2
+
+// urgentSlots returns how many items of the top rank may run beyond the slots.
+func (q *Queue) urgentSlots() int {
+	if !q.options.Preempting || q.options.Ordering != Fair {
+		return 0
+	}
+	return (q.options.Slots + urgentDivisor - 1) / urgentDivisor
 }
 
 func (q *Queue) start(i *Item, class fleet.Rank) {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -242,3 +242,18 @@
 	is.True(counts["routine"] >= 70)
 	is.True(counts["background"] >= 50-10)
 }
+
+// Guards against urgent work that waits for a slot of a server that preempts,
+// and against other work that takes the slots beyond.
+func TestTopRankRunsBeyondTheSlots(t *testing.T) {
+	is := is.New(t)
+	run := func(preempting bool, rank fleet.Rank) int {
+		q, c := fixture(Options{Slots: 4, Preempting: preempting})
+		fill(q, 4, func() *Item { return c.item("background", 0.5, fleet.RankBottom) })
+		fill(q, 10, func() *Item { return c.item("urgent", 0.5, rank) })
+		return q.Stats().Running
+	}
+	is.Equal(run(true, fleet.RankTop), 6)
+	is.Equal(run(true, fleet.RankMiddle), 4)
+	is.Equal(run(false, fleet.RankTop), 4)
+}
