Refuse queued work that would run into its deadline

Cause: in a flood, work waited until just before its deadline, began, and was cut off: its tokens were lost and its caller got may_have_run in place of an early not_run. Change: the early refusal counts the run time, and work that can no longer end in time is refused with not_run and Retry-After when its turn comes.

--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	wait := q.estimate(i)
-	limit := i.Deadline.Sub(now)
+	limit := i.Deadline.Sub(now) - q.runTime(i)
 	if i.FirstToken > 0 {
 		limit = min(limit, firstTokenFactor*i.FirstToken)
 	}
@@ -53,6 +53,16 @@
 	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
 }
 
+// runTime estimates how long an item runs beside a full batch.
+func (q *Queue) runTime(i *Item) time.Duration {
+	rate := q.options.Rate()
+	if rate <= 0 || q.stats.Running < q.options.Slots-1 {
+		return 0
+	}
+	seconds := float64(i.Tokens) * float64(q.options.Slots) / rate
+	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
+}
+
 // queuedTokens returns the work that waits at a rank and above.
 func (q *Queue) queuedTokens(rank fleet.Rank) float64 {
 	tokens := 0.0
@@ -95,10 +105,7 @@
 		if victim == nil || q.options.Ordering != Fair {
 			return false
 		}
-		q.take(victim)
-		q.stats.Tokens -= victim.Tokens
-		victim.refused = fullError()
-		close(victim.ready)
+		q.pushOut(victim, fullError())
 	}
 	return true
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -243,17 +243,35 @@
 		if i == nil {
 			return
 		}
-		q.start(i, class)
+		q.startOrRefuse(i, class)
 	}
 	for q.stats.Running < q.options.Slots+q.urgentSlots() {
 		i := q.pickClass(fleet.RankTop, q.withinShare)
 		if i == nil {
 			return
 		}
-		q.start(i, fleet.RankTop)
+		q.startOrRefuse(i, fleet.RankTop)
 	}
 }
 
+// startOrRefuse starts an item unless it would run into its deadline: work that
+// is cut off is lost, and its caller learns only then that it must try again.
+func (q *Queue) startOrRefuse(i *Item, class fleet.Rank) {
+	if q.options.Ordering == Fair && q.runTime(i) > i.Deadline.Sub(q.options.Now()) {
+		q.pushOut(i, lateError())
+		return
+	}
+	q.start(i, class)
+}
+
+// pushOut refuses a waiting item.
+func (q *Queue) pushOut(i *Item, e *verdict.Error) {
+	q.take(i)
+	q.stats.Tokens -= i.Tokens
+	i.refused = e
+	close(i.ready)
+}
+
 // urgentDivisor sets how many items of the top rank may run beyond the slots:
 // one for so many slots. With answers of one length, a batch that filled at
 // once also ends at once, and urgent work waited for up to a whole answer.
@@ -295,6 +313,10 @@
 	return verdict.Refuse(http.StatusGatewayTimeout, verdict.ReasonDeadline, "the deadline passed before the request began")
 }
 
+func lateError() *verdict.Error {
+	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "too little time is left before the deadline").WithRetryAfter(time.Second)
+}
+
 func fullError() *verdict.Error {
 	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonQueueFull, "the agent's queue is full").WithRetryAfter(time.Second)
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -257,3 +257,19 @@
 	is.Equal(run(true, fleet.RankMiddle), 4)
 	is.Equal(run(false, fleet.RankTop), 4)
 }
+
+// Guards against a run that is cut off by its deadline, which wastes the work
+// and tells the caller too late.
+func TestItemWithoutTimeToRunIsRefused(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Slots: 1, Rate: func() float64 { return 100 }})
+	first := fill(q, 1, func() *Item { return c.item("a", 1, fleet.RankTop) })[0]
+	i := c.item("a", 1, fleet.RankTop) // runs for 1 s
+	i.Deadline = c.now.Add(3 * time.Second)
+	is.True(q.Push(i) == nil)
+	c.now = c.now.Add(2500 * time.Millisecond)
+	q.Done(first, 100)
+	<-i.Ready()
+	is.Equal(i.Refused().Verdict, verdict.NotRun)
+	is.True(i.Refused().RetryAfter > 0)
+}
