Keep the estimated wait below half the time to the deadline

Cause: the estimate uses the highest rate seen lately, so that queues filled with work that was too late when its turn came and was refused only then. Ruled out: a bound on what a waiting account is owed, see decision 0004. Change: the early refusal keeps a factor of two to the deadline.

--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -13,6 +13,11 @@
 // firstTokenFactor is how many first-token targets a request may wait.
 const firstTokenFactor = 4
 
+// waitSafety is by how much the estimated wait must stay below the time to the
+// deadline. The estimate uses the highest rate seen lately; without a margin a
+// flooded queue fills with work that is too late when its turn comes.
+const waitSafety = 2
+
 // refuseEarly refuses an item that would most likely wait in vain, while the
 // caller can still go elsewhere.
 func (q *Queue) refuseEarly(i *Item, now time.Time) *verdict.Error {
@@ -20,7 +25,7 @@
 		return nil
 	}
 	wait := q.estimate(i)
-	limit := i.Deadline.Sub(now) - q.runTime(i)
+	limit := (i.Deadline.Sub(now) - q.runTime(i)) / waitSafety
 	if i.FirstToken > 0 {
 		limit = min(limit, firstTokenFactor*i.FirstToken)
 	}
