--- a/cmd/bench/scenario.go
+++ b/cmd/bench/scenario.go
@@ -222,15 +222,15 @@
 	}
 }
 
-func (c fleetSpec) check(f *tomlfile.File) {
-	tomlfile.InRange(f, "fleet.zones", c.Zones, 1, 8)
-	tomlfile.InRange(f, "fleet.entries", c.Entries, 1, 9)
-	tomlfile.InRange(f, "fleet.engines", c.Engines, 1, 16)
-	tomlfile.InRange(f, "fleet.services", c.Services, 0, 3)
-	tomlfile.InRange(f, "fleet.slots", c.Slots, 1, 256)
-	f.DurationInRange("fleet.step_base", c.StepBase, time.Millisecond, time.Second)
-	f.DurationInRange("fleet.step_per_sequence", c.StepPerSequence, 0, 100*time.Millisecond)
-	f.DurationInRange("fleet.prefill_per_token", c.PrefillPerToken, 0, 10*time.Millisecond)
+func (f fleetSpec) check(file *tomlfile.File) {
+	tomlfile.InRange(file, "fleet.zones", f.Zones, 1, 8)
+	tomlfile.InRange(file, "fleet.entries", f.Entries, 1, 9)
+	tomlfile.InRange(file, "fleet.engines", f.Engines, 1, 16)
+	tomlfile.InRange(file, "fleet.services", f.Services, 0, 3)
+	tomlfile.InRange(file, "fleet.slots", f.Slots, 1, 256)
+	file.DurationInRange("fleet.step_base", f.StepBase, time.Millisecond, time.Second)
+	file.DurationInRange("fleet.step_per_sequence", f.StepPerSequence, 0, 100*time.Millisecond)
+	file.DurationInRange("fleet.prefill_per_token", f.PrefillPerToken, 0, 10*time.Millisecond)
 }
 
 func (a accountSpec) check(f *tomlfile.File, key string) {
