--- a/internal/queue/admit.go
+++ b/internal/queue/admit.go
@@ -13,6 +13,11 @@
 // firstTokenFactor is how many first-token targets a request may wait.
 const firstTokenFactor = 4
 
+// waitSafety is by how much the estimated wait must stay below the time to the
+// deadline. The estimate uses the highest rate seen lately; without a margin a
+// flooded queue fills with work that is too late when its turn comes.
+const waitSafety = 2
+
 // refuseEarly refuses an item that would most likely wait in vain, while the
 // caller can still go elsewhere.
 func (q *Queue) refuseEarly(i *Item, now time.Time) *verdict.Error {
@@ -20,7 +25,7 @@
 		return nil
 	}
 	wait := q.estimate(i)
-	limit := i.Deadline.Sub(now)
+	limit := (i.Deadline.Sub(now) - q.runTime(i)) / waitSafety
 	if i.FirstToken > 0 {
 		limit = min(limit, firstTokenFactor*i.FirstToken)
 	}
@@ -32,28 +37,46 @@
 	return e.WithRetryAfter(wait - limit + time.Second)
 }
 
-// estimate returns how long an item would wait: the work ahead of it under
-// strict priority or under its rank's floor, whichever is sooner, and not more
-// than the account's own work at the account's part of the rate.
+// estimate returns how long an item would wait: behind the work of its rank and
+// above while its account is within its share, and else until the account's
+// share has grown to cover it or everything queued has been served. A rank's
+// floor bounds the wait in every case.
 func (q *Queue) estimate(i *Item) time.Duration {
 	rate := q.options.Rate()
 	if rate <= 0 || q.stats.Running < q.options.Slots {
 		return 0
 	}
-	ahead := 0.0
-	for r := fleet.RankTop; r <= i.Rank; r++ {
-		ahead += float64(q.queued[r])
+	own, share := q.ownWork(i), max(i.Weight, minWeight)*rate
+	seconds := min(q.queuedTokens(i.Rank)/rate, own/share)
+	if beyond := own + float64(i.Tokens) - q.credit(q.account(i), i.Rank); beyond > 0 {
+		seconds = min(beyond/share, q.queuedTokens(fleet.RankBottom)/rate)
 	}
-	seconds := ahead / rate
-	class := rate
 	if floor := q.options.Floors[i.Rank]; floor > 0 {
-		seconds = min(seconds, float64(q.queued[i.Rank])/(rate*floor))
-		class = rate * floor
+		class := rate * floor
+		seconds = min(seconds, float64(q.queued[i.Rank])/class, own/(class*q.classPart(i)))
+	}
+	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
+}
+
+// runTime estimates how long an item runs beside a full batch.
+func (q *Queue) runTime(i *Item) time.Duration {
+	rate := q.options.Rate()
+	if rate <= 0 || q.stats.Running < q.options.Slots-1 {
+		return 0
 	}
-	seconds = min(seconds, q.ownWork(i)/(class*q.classPart(i)))
+	seconds := float64(i.Tokens) * float64(q.options.Slots) / rate
 	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
 }
 
+// queuedTokens returns the work that waits at a rank and above.
+func (q *Queue) queuedTokens(rank fleet.Rank) float64 {
+	tokens := 0.0
+	for r := fleet.RankTop; r <= rank; r++ {
+		tokens += float64(q.queued[r])
+	}
+	return tokens
+}
+
 // ownWork returns the queued tokens of the item's account in its rank.
 func (q *Queue) ownWork(i *Item) float64 {
 	a := q.accounts[i.Account]
@@ -87,10 +110,7 @@
 		if victim == nil || q.options.Ordering != Fair {
 			return false
 		}
-		q.take(victim)
-		q.stats.Tokens -= victim.Tokens
-		victim.refused = fullError()
-		close(victim.ready)
+		q.pushOut(victim, fullError())
 	}
 	return true
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -14,14 +14,26 @@
 // Ordering selects how waiting items are ordered.
 type Ordering int
 
-// Orderings. FIFO and Strict are baselines for measurements: they refuse only
-// at the bounds of the queue.
+// Orderings. All but Fair are baselines for measurements. FIFO and Strict
+// refuse only at the bounds of the queue. TokenBuckets refuses what is beyond
+// an account's share of the rate and serves the rest in order of arrival.
 const (
 	Fair Ordering = iota
 	FIFO
 	Strict
+	TokenBuckets
 )
 
+// orderingNames are the names that settings use.
+var orderingNames = map[string]Ordering{"fair": Fair, "fifo": FIFO, "strict": Strict, "token_buckets": TokenBuckets}
+
+// ParseOrdering returns the ordering of a name; false means that no ordering
+// has the name.
+func ParseOrdering(name string) (Ordering, bool) {
+	o, ok := orderingNames[name]
+	return o, ok
+}
+
 // minWeight keeps an account without a share from waiting for ever.
 const minWeight = 0.001
 
@@ -32,6 +44,9 @@
 	Bytes int64
 	// Slots is how many items run at a time.
 	Slots int
+	// Preempting tells that the server interrupts less urgent work for more
+	// urgent work, so that top-rank work need not wait for a slot.
+	Preempting bool
 	// Floors holds each rank's part of token time, from 0 to 1.
 	Floors [fleet.RankCount]float64
 	// Rate returns the server's tokens per second; 0 means unknown.
@@ -66,6 +81,8 @@
 	arrived  time.Time
 	class    fleet.Rank
 	waiting  bool
+	// paid tells that the item began as part of its account's share.
+	paid bool
 }
 
 // Ready is closed when the item may run or was pushed out; see Refused.
@@ -91,8 +108,10 @@
 	mu       sync.Mutex
 	accounts map[fleet.ClientAccount]*account
 	// virtual is the virtual time per class.
-	virtual  [fleet.RankCount]float64
-	served   [fleet.RankCount]window
+	virtual [fleet.RankCount]float64
+	served  [fleet.RankCount]window
+	// tokens counts all tokens served.
+	tokens   float64
 	sequence uint64
 	stats    Stats
 	queued   [fleet.RankCount]int64
@@ -124,6 +143,9 @@
 	if e := q.refuseEarly(i, now); e != nil {
 		return e
 	}
+	if e := q.refuseBucket(i, now); e != nil {
+		return e
+	}
 	if !q.makeRoom(i) {
 		return fullError()
 	}
@@ -136,6 +158,9 @@
 	q.sequence++
 	i.ready, i.sequence, i.arrived, i.waiting = make(chan struct{}), q.sequence, now, true
 	a := q.account(i)
+	if a.waiting() == 0 {
+		q.forfeit(a)
+	}
 	a.activate(i.Rank, &q.virtual)
 	a.items[i.Rank] = append(a.items[i.Rank], i)
 	q.count(i, 1)
@@ -187,6 +212,9 @@
 	a := q.accounts[i.Account]
 	a.running--
 	q.charge(a, i, used-i.Tokens)
+	if i.paid {
+		a.ahead += float64(used - i.Tokens)
+	}
 	q.prune()
 	q.dispatch()
 }
@@ -213,15 +241,54 @@
 		if i == nil {
 			return
 		}
-		q.start(i, class)
+		q.startOrRefuse(i, class)
+	}
+	for q.stats.Running < q.options.Slots+q.urgentSlots() {
+		i := q.pickClass(fleet.RankTop, q.withinShare)
+		if i == nil {
+			return
+		}
+		q.startOrRefuse(i, fleet.RankTop)
 	}
 }
 
+// startOrRefuse starts an item unless it would run into its deadline: work that
+// is cut off is lost, and its caller learns only then that it must try again.
+func (q *Queue) startOrRefuse(i *Item, class fleet.Rank) {
+	if q.options.Ordering == Fair && q.runTime(i) > i.Deadline.Sub(q.options.Now()) {
+		q.pushOut(i, lateError())
+		return
+	}
+	q.start(i, class)
+}
+
+// pushOut refuses a waiting item.
+func (q *Queue) pushOut(i *Item, e *verdict.Error) {
+	q.take(i)
+	q.stats.Tokens -= i.Tokens
+	i.refused = e
+	close(i.ready)
+}
+
+// urgentDivisor sets how many items of the top rank may run beyond the slots:
+// one for so many slots. With answers of one length, a batch that filled at
+// once also ends at once, and urgent work waited for up to a whole answer.
+const urgentDivisor = 2
+
+// urgentSlots returns how many items of the top rank may run beyond the slots.
+func (q *Queue) urgentSlots() int {
+	if !q.options.Preempting || q.options.Ordering != Fair {
+		return 0
+	}
+	return (q.options.Slots + urgentDivisor - 1) / urgentDivisor
+}
+
 func (q *Queue) start(i *Item, class fleet.Rank) {
 	a := q.accounts[i.Account]
 	q.take(i)
 	i.class = class
 	q.virtual[class] = max(q.virtual[class], a.start[class])
+	q.pay(a, i)
 	q.charge(a, i, i.Tokens)
 	a.running++
 	q.stats.Running++
@@ -244,14 +311,18 @@
 func (q *Queue) charge(a *account, i *Item, tokens int64) {
 	now := q.options.Now()
 	a.start[i.class] += float64(tokens) / a.weight
-	a.served.add(now, tokens)
 	q.served[i.Rank].add(now, tokens)
+	q.tokens += float64(tokens)
 }
 
 func deadlineError() *verdict.Error {
 	return verdict.Refuse(http.StatusGatewayTimeout, verdict.ReasonDeadline, "the deadline passed before the request began")
 }
 
+func lateError() *verdict.Error {
+	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "too little time is left before the deadline").WithRetryAfter(time.Second)
+}
+
 func fullError() *verdict.Error {
 	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonQueueFull, "the agent's queue is full").WithRetryAfter(time.Second)
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -217,3 +217,76 @@
 	q.Done(running, 0)
 	is.True(ready(waiting))
 }
+
+// Guards against a token bucket baseline that limits nothing or refuses an
+// account within its share.
+func TestTokenBucketsLimitEachAccount(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Ordering: TokenBuckets, Rate: func() float64 { return 1000 }})
+	push := func(account fleet.ClientAccount, n int) (refused int) {
+		for range n {
+			if e := q.Push(c.item(account, 0.5, fleet.RankMiddle)); e != nil {
+				is.Equal(e.Verdict, verdict.NotRun)
+				is.True(e.RetryAfter > 0)
+				refused++
+			}
+		}
+		return refused
+	}
+	is.Equal(push("large", 20), 10) // 2 s at 500 tokens/s hold 10 items of 100 tokens
+	is.Equal(push("small", 5), 0)
+	c.now = c.now.Add(time.Second)
+	is.Equal(push("large", 10), 5)
+}
+
+// Guards against an account of a higher rank that crowds out the claimed share
+// of a lower rank, and against lower ranks that go before it within its share.
+func TestSharesHoldAcrossRanks(t *testing.T) {
+	is := is.New(t)
+	rate := func() float64 { return 100 }
+	q, c := fixture(Options{Rate: rate})
+	var items []*Item
+	push := func(n int, account fleet.ClientAccount, weight float64, rank fleet.Rank) {
+		items = append(items, fill(q, n, func() *Item { return c.item(account, weight, rank) })...)
+	}
+	push(150, "urgent", 0.5, fleet.RankTop)
+	push(150, "routine", 0.3, fleet.RankMiddle)
+	push(150, "background", 0.2, fleet.RankBottom)
+	counts := serve(q, items, 250, byAccount)
+	// urgent and routine may run 5 and 3 items ahead of the shares of 125, 75
+	// and 50.
+	is.True(counts["urgent"] >= 120 && counts["urgent"] <= 132)
+	is.True(counts["routine"] >= 70)
+	is.True(counts["background"] >= 50-10)
+}
+
+// Guards against urgent work that waits for a slot of a server that preempts,
+// and against other work that takes the slots beyond.
+func TestTopRankRunsBeyondTheSlots(t *testing.T) {
+	is := is.New(t)
+	run := func(preempting bool, rank fleet.Rank) int {
+		q, c := fixture(Options{Slots: 4, Preempting: preempting})
+		fill(q, 4, func() *Item { return c.item("background", 0.5, fleet.RankBottom) })
+		fill(q, 10, func() *Item { return c.item("urgent", 0.5, rank) })
+		return q.Stats().Running
+	}
+	is.Equal(run(true, fleet.RankTop), 6)
+	is.Equal(run(true, fleet.RankMiddle), 4)
+	is.Equal(run(false, fleet.RankTop), 4)
+}
+
+// Guards against a run that is cut off by its deadline, which wastes the work
+// and tells the caller too late.
+func TestItemWithoutTimeToRunIsRefused(t *testing.T) {
+	is := is.New(t)
+	q, c := fixture(Options{Slots: 1, Rate: func() float64 { return 100 }})
+	first := fill(q, 1, func() *Item { return c.item("a", 1, fleet.RankTop) })[0]
+	i := c.item("a", 1, fleet.RankTop) // runs for 1 s
+	i.Deadline = c.now.Add(3 * time.Second)
+	is.True(q.Push(i) == nil)
+	c.now = c.now.Add(2500 * time.Millisecond)
+	q.Done(first, 100)
+	<-i.Ready()
+	is.Equal(i.Refused().Verdict, verdict.NotRun)
+	is.True(i.Refused().RetryAfter > 0)
+}
