Eject agents whose servers look healthy and fail requests

Cause: an engine that answers its health probe and fails requests stayed in routing.

Ruled out: the health probe, which answers; counting at each entry alone, because every entry would lose its own requests before it knows; a share that fades with time, because an engine without work has not recovered.

Change: the agent reports the moving average and the number of failed runs of its server's present start, and each entry keeps the same average of what it saw. At 0.5 the agent is ejected, at most half of the candidates are, and it gets probe requests at intervals from 0.5 to 10 s. Crashes, refusals, callers that left and deadlines on a server that makes progress do not count. Suspects and calls that cannot be retried are no probes. The stand-in engine has a fault switch.

--- a/integration/harness/control.go
+++ b/integration/harness/control.go
@@ -118,6 +118,11 @@
 	return send(ctx, http.MethodPost, a.BackendURL+"/control/stall", s, nil)
 }
 
+// SetFault sets the fault of the agent's stand-in engine.
+func (a *Agent) SetFault(ctx context.Context, fault standin.EngineFault) error {
+	return send(ctx, http.MethodPost, a.BackendURL+"/control/fault", fault, nil)
+}
+
 // SetRunTime sets how long one call of a stand-in service takes.
 func (a *Agent) SetRunTime(ctx context.Context, d time.Duration) error {
 	return send(ctx, http.MethodPost, a.BackendURL+"/control/run-time", milliseconds{d.Milliseconds()}, nil)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,6 +61,7 @@
 	server   *server
 	orders   *orders.Arbiter
 	rate     rate
+	outcomes outcomes
 	cache    prefixCache
 	sequence atomic.Uint64
 	// calls counts the request streams whose answer is not delivered.
--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -59,7 +59,7 @@
 	if response.StatusCode != http.StatusOK {
 		return refusal(verdict.Uncertain(verdict.ReasonServerFailed, "the engine answered with status %d", response.StatusCode)), nil
 	}
-	done, err := readCompletion(response.Body, r)
+	done, err := a.readCompletion(response.Body, r)
 	if err != nil {
 		return ledger.Answer{}, err
 	}
@@ -85,7 +85,7 @@
 }
 
 // readCompletion reads events until the end mark.
-func readCompletion(body io.Reader, r *run) (wire.Done, error) {
+func (a *agent) readCompletion(body io.Reader, r *run) (wire.Done, error) {
 	var done wire.Done
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
@@ -98,7 +98,7 @@
 		if data == "[DONE]" {
 			return done, nil
 		}
-		if err := readEvent(data, r, &done); err != nil {
+		if err := a.readEvent(data, r, &done); err != nil {
 			return done, err
 		}
 	}
@@ -111,7 +111,7 @@
 	return done, errStreamCut
 }
 
-func readEvent(data string, r *run, done *wire.Done) error {
+func (a *agent) readEvent(data string, r *run, done *wire.Done) error {
 	var e completionEvent
 	if err := json.Unmarshal([]byte(data), &e); err != nil {
 		return verdict.Uncertain(verdict.ReasonServerFailed, "the engine sent a malformed event: %v", err)
@@ -126,6 +126,7 @@
 		if c.Text == "" {
 			continue
 		}
+		a.outcomes.progressed()
 		if err := r.buffer.append(r.submit.Attempt, c.Text, 1); err != nil {
 			return verdict.Uncertain(verdict.ReasonCanceled, "the receiver was too slow and the stream's buffer is full")
 		}
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -29,6 +29,7 @@
 	defer expiry.Stop()
 	if a.waitForSlot(r) {
 		answer := a.call(r)
+		a.noteOutcome(r, answer)
 		a.finish(r, answer)
 		a.rate.add(r.item.Tokens, time.Now())
 		a.queue.Done(r.item, r.usedTokens(answer))
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -157,6 +157,14 @@
 	r.calling, r.serverStart, r.startedAt = true, serverStart, time.Now()
 }
 
+// callOf returns the server start that a run called and when; the time is zero
+// if it called none.
+func (t *runTable) callOf(r *run) (serverStart string, begun time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return r.serverStart, r.startedAt
+}
+
 // inFlight returns the runs on a server start whose call has begun.
 func (t *runTable) inFlight(serverStart string) []*run {
 	t.mu.Lock()
--- a/internal/entry/command/attempts.go
+++ b/internal/entry/command/attempts.go
@@ -160,6 +160,19 @@
 	return &c
 }
 
+// note tells the router how an attempt ended. A crashed server and a passed
+// deadline are left to the agent's report: the quarantine judges the first, and
+// only the agent knows whether its server made progress before the second.
+func (a *attempts) note(agent member.Agent, e *verdict.Error) {
+	switch {
+	case e == nil:
+		a.commands.Router.Ended(agent, false)
+	case e.Verdict == verdict.NotRun:
+	case e.Reason == verdict.ReasonServerFailed || e.Reason == verdict.ReasonLinkLost:
+		a.commands.Router.Ended(agent, true)
+	}
+}
+
 // succeeded clears a suspicion of the request.
 func (a *attempts) succeeded() {
 	if s, ok := a.commands.Quarantine.Succeeded(a.call.Fingerprint); ok {
--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -116,6 +116,7 @@
 			return End{Refusal: s.final(e)}
 		}
 		end, e := s.attempt(ctx, agent)
+		s.note(agent, e)
 		if e == nil {
 			return *end
 		}
--- a/internal/entry/command/service.go
+++ b/internal/entry/command/service.go
@@ -42,6 +42,7 @@
 		return verdict.Refuse(http.StatusPreconditionRequired, verdict.ReasonTicketRequired,
 			"get a ticket from /v1/tickets; a key alone does not keep the call from running twice")
 	}
+	a.query.Once = true
 	return c.callOnce(ctx, a, s, sink)
 }
 
@@ -55,6 +56,7 @@
 		x, e := a.open(ctx, agent, true)
 		if e == nil {
 			e = c.submitService(ctx, a, x, s, "", a.count, sink)
+			a.note(agent, e)
 		}
 		if e == nil {
 			return nil
@@ -80,6 +82,7 @@
 		x, e := a.open(ctx, agent, true)
 		if e == nil {
 			e = c.submitOnce(ctx, a, x, s, text, 1, sink)
+			a.note(agent, e)
 		}
 		if e == nil || e.Verdict != verdict.NotRun || !a.again(ctx, agent.Hello.Process, e) {
 			return e
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -53,6 +54,9 @@
 	Confinement Confinement
 	// EndedOn names the agents whose servers ended during the request.
 	EndedOn []fleet.ProcessID
+	// Once tells that the request cannot be retried after a failure, so that it
+	// is no probe for an ejected agent.
+	Once bool
 }
 
 // Tokens estimates the work of the request in tokens.
@@ -68,11 +72,13 @@
 	mu    sync.Mutex
 	turn  int
 	loads map[fleet.ProcessID]*load
+	// records holds what the ejection of agents depends on.
+	records map[fleet.ProcessID]*record
 }
 
 // NewRouter returns a router of a process in the given zone.
 func NewRouter(policy Policy, zone fleet.AvailabilityZone) *Router {
-	return &Router{policy: policy, zone: zone, loads: map[fleet.ProcessID]*load{}}
+	return &Router{policy: policy, zone: zone, loads: map[fleet.ProcessID]*load{}, records: map[fleet.ProcessID]*record{}}
 }
 
 // Choose returns the agent for a request, or false if no agent can serve it.
@@ -81,11 +87,16 @@
 	if len(candidates) == 0 {
 		return member.Agent{}, false
 	}
-	// The order of the view is not defined; round robin needs a fixed one.
-	slices.SortFunc(candidates, byProcess)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refresh(candidates)
+	now := time.Now()
+	candidates, ejected := r.eject(candidates, now)
+	if a, ok := r.probe(agents, ejected, q, now); ok {
+		return a, true
+	}
+	// The order of the view is not defined; round robin needs a fixed one.
+	slices.SortFunc(candidates, byProcess)
 	switch {
 	case r.policy == RoundRobin:
 		r.turn++
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
@@ -85,6 +86,7 @@
 	config EngineConfig
 	start  fleet.StartID
 	stall  *stall
+	fault  atomic.Pointer[EngineFault]
 	wake   chan struct{}
 
 	mu          sync.Mutex
@@ -308,6 +310,7 @@
 	mux.HandleFunc("GET /control/orders", e.controlOrders)
 	mux.HandleFunc("POST /control/order-delay", e.controlOrderDelay)
 	mux.HandleFunc("POST /control/stall", controlStall(e.stall))
+	mux.HandleFunc("POST /control/fault", e.controlFault)
 	return mux
 }
 
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -61,6 +61,11 @@
 		http.Error(w, fmt.Sprintf("max_tokens must be from 0 to %d", maxTokens), http.StatusBadRequest)
 		return
 	}
+	fault := e.presentFault()
+	if fault.Fail {
+		http.Error(w, "the engine is set to fail", http.StatusInternalServerError)
+		return
+	}
 	first := TokenCount(request.Generated)
 	s := e.add(request, first)
 	defer e.cancel(s)
@@ -75,6 +80,9 @@
 			return
 		}
 		writeEvent(w, e.event(request, s, position))
+		if fault.BreakAfter > 0 && position-first+1 >= fault.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
 		if e.crashes(request.Prompt) {
 			e.config.Crash()
 		}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -83,6 +83,10 @@
 	// Version and Role are what the engine holds and does, if it says so.
 	Version string `cbor:"15,keyasint,omitempty"`
 	Role    string `cbor:"16,keyasint,omitempty"`
+	// FailedShare is the moving average of the failed runs of the server start,
+	// from 0 to 1, and FailedRuns their number.
+	FailedShare float64 `cbor:"17,keyasint,omitempty"`
+	FailedRuns  uint64  `cbor:"18,keyasint,omitempty"`
 }
 
 // Member is what gossip carries about a process.
