link: send a report when the share of failed runs changed

Cause: a report that differs only in the failed runs was taken as the same and left out for up to 15 s, so that an entry could miss the failures of an agent whose load did not change. Found by reading; no run showed it.

Change: the comparison covers both fields.

--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -142,7 +142,7 @@
 	p.links = link.NewManager(link.Config{Endpoint: p.endpoint, View: p.view, Store: p.store, Quarantine: p.registry, Recorder: p.recorder})
 	counts := usage.New(p.metrics.Scope)
 	p.commands = &command.Commands{
-		View: p.view, Links: command.ManagedLinks(p.links), Router: routing.NewRouter(routing.Scored, p.self.Zone),
+		View: p.view, Links: command.ManagedLinks(p.links), Router: routing.NewRouter(routing.Policy(p.config.Routing), p.self.Zone),
 		Budget: retry.NewBudget(p.config.RetryRatio), Quarantine: p.registry, Store: p.store, Tickets: p.tickets,
 		Recorder: p.recorder, Usage: counts, TicketLifetime: time.Duration(p.config.TicketLifetime),
 		StreamBufferBytes: p.config.Limits.StreamBufferBytes, Paused: p.pauses.delaysCalls,
--- a/internal/link/report.go
+++ b/internal/link/report.go
@@ -38,7 +38,7 @@
 // sameReport compares reports but for the sequence number and the uptime.
 func sameReport(a, b *wire.Report) bool {
 	return sameState(a, b) && a.Running == b.Running && a.Queued == b.Queued && a.QueuedTokens == b.QueuedTokens &&
-		a.TokensPerSecond == b.TokensPerSecond && slices.Equal(a.CachedPrefixes, b.CachedPrefixes)
+		a.TokensPerSecond == b.TokensPerSecond && a.FailedShare == b.FailedShare && a.FailedRuns == b.FailedRuns && slices.Equal(a.CachedPrefixes, b.CachedPrefixes)
 }
 
 // sameState compares what decides on whether an agent may be used at all.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -113,8 +113,12 @@
 	// RetryRatio is the share of requests that may be retried. Default 0.1,
 	// range 0 to 1.
 	RetryRatio float64 `toml:"retry_ratio"`
-	Keys       Keys    `toml:"keys"`
-	Limits     Limits  `toml:"limits"`
+	// Routing is how an agent is chosen, for comparison only: "scored",
+	// "round_robin", "least_loaded" or "two_choices". Default "scored"; the
+	// others ignore prompt caches and zones.
+	Routing string `toml:"routing"`
+	Keys    Keys   `toml:"keys"`
+	Limits  Limits `toml:"limits"`
 }
 
 // DefaultEntryConfig returns the settings used where the file sets none.
@@ -126,6 +130,7 @@
 		DrainTimeout:    tomlfile.Duration(10 * time.Minute),
 		AgentSubset:     32,
 		RetryRatio:      0.1,
+		Routing:         "scored",
 		Limits:          DefaultLimits(),
 	}
 }
@@ -146,6 +151,7 @@
 	f.DurationInRange("drain_timeout", c.DrainTimeout, time.Second, time.Hour)
 	tomlfile.InRange(f, "agent_subset", c.AgentSubset, 2, 1024)
 	tomlfile.InRange(f, "retry_ratio", c.RetryRatio, 0, 1)
+	f.OneOf("routing", c.Routing, "scored", "round_robin", "least_loaded", "two_choices")
 	checkKeys(f, c.Keys)
 	checkLimits(f, c.Limits)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -101,9 +101,12 @@
 	preemptions int
 	completed   int
 	canceled    int
-	cache       *prefixCache
-	load        loadSample
-	orders      orderBook
+	// promptTokens and cachedTokens sum over the prefills.
+	promptTokens int
+	cachedTokens int
+	cache        *prefixCache
+	load         loadSample
+	orders       orderBook
 }
 
 type loadSample struct {
@@ -185,6 +188,8 @@
 	cached := e.cache.use(Prefixes(e.model, s.prompt), time.Now())
 	s.cached = cached * prefixBlock / bytesPerToken
 	s.prefilled = true
+	e.promptTokens += len(s.prompt) / bytesPerToken
+	e.cachedTokens += s.cached
 	tokens := len(s.prompt)/bytesPerToken - s.cached + s.position
 	return time.Duration(tokens) * e.config.PrefillPerToken
 }
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -223,11 +223,15 @@
 	Completed   int             `json:"completed"`
 	Canceled    int             `json:"canceled"`
 	Preemptions int             `json:"preemptions"`
+	// PromptTokens are those of all prefills, and CachedTokens the part of them
+	// that was found in the cache.
+	PromptTokens int `json:"prompt_tokens"`
+	CachedTokens int `json:"cached_tokens"`
 }
 
 func (e *Engine) controlCounts(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	counts := EngineCounts{Runs: maps.Clone(e.runs), Active: []ActiveRequest{}, Tokens: e.tokens, Completed: e.completed, Canceled: e.canceled, Preemptions: e.preemptions}
+	counts := EngineCounts{Runs: maps.Clone(e.runs), Active: []ActiveRequest{}, Tokens: e.tokens, Completed: e.completed, Canceled: e.canceled, Preemptions: e.preemptions, PromptTokens: e.promptTokens, CachedTokens: e.cachedTokens}
 	for _, s := range e.sequences {
 		counts.Active = append(counts.Active, ActiveRequest{RequestID: s.request, Priority: s.priority, Position: s.position, Running: s.running})
 	}
