agent: drop as many cached prefixes as events were missed

Cause: at every gap in the engine's cache events the agent dropped the older half of its prefixes. With every seventh event lost, a prompt of 24 uncached blocks brings about seven gaps, which emptied the digest.

Change: each missed event can hide one eviction, so as many of the oldest prefixes are dropped as events were missed.

--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -51,9 +51,9 @@
 	return c.after
 }
 
-// apply returns whether the events changed the prefixes. A gap may hide
-// evictions, and those concern the oldest prefixes first, so the older half is
-// dropped.
+// apply returns whether the events changed the prefixes. Every missed event may
+// hide an eviction, and those concern the oldest prefixes first, so as many of
+// them are dropped.
 func (c *prefixCache) apply(e cacheEvents) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -65,7 +65,8 @@
 			continue
 		}
 		if c.after > 0 && event.Sequence > c.after+1 {
-			c.prefixes = c.prefixes[len(c.prefixes)/2:]
+			missed := event.Sequence - c.after - 1
+			c.prefixes = c.prefixes[min(missed, uint64(len(c.prefixes))):]
 		}
 		c.after = event.Sequence
 		c.remove(event.Prefix)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -133,3 +133,19 @@
 	_, ok := NewRouter(Scored, "a").Choose(agents, q)
 	is.True(ok)
 }
+
+// Guards against requests for an adapter that go to engines without it, in any
+// confinement, and against ejecting the only engine that holds it.
+func TestAdapterRequestsGoToEnginesThatHoldIt(t *testing.T) {
+	is := is.New(t)
+	agents := sixAgents()
+	agents[4].Report.Adapters, agents[4].Report.FailedShare = []string{"law"}, 1
+	for _, confinement := range []Confinement{Free, Untried, Suspected} {
+		for fingerprint := range uint64(50) {
+			q := Request{Model: "m", Adapter: "law", Prompt: "p", Fingerprint: fingerprint, Confinement: confinement}
+			a, ok := NewRouter(Scored, "a").Choose(agents, q)
+			is.True(ok)
+			is.Equal(a.Hello.Process, agents[4].Hello.Process)
+		}
+	}
+}
