--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
@@ -85,6 +86,7 @@
 	config EngineConfig
 	start  fleet.StartID
 	stall  *stall
+	fault  atomic.Pointer[EngineFault]
 	wake   chan struct{}
 
 	mu          sync.Mutex
@@ -99,9 +101,12 @@
 	preemptions int
 	completed   int
 	canceled    int
-	cache       *prefixCache
-	load        loadSample
-	orders      orderBook
+	// promptTokens and cachedTokens sum over the prefills.
+	promptTokens int
+	cachedTokens int
+	cache        *prefixCache
+	load         loadSample
+	orders       orderBook
 }
 
 type loadSample struct {
@@ -183,6 +188,8 @@
 	cached := e.cache.use(Prefixes(e.model, s.prompt), time.Now())
 	s.cached = cached * prefixBlock / bytesPerToken
 	s.prefilled = true
+	e.promptTokens += len(s.prompt) / bytesPerToken
+	e.cachedTokens += s.cached
 	tokens := len(s.prompt)/bytesPerToken - s.cached + s.position
 	return time.Duration(tokens) * e.config.PrefillPerToken
 }
@@ -308,6 +315,7 @@
 	mux.HandleFunc("GET /control/orders", e.controlOrders)
 	mux.HandleFunc("POST /control/order-delay", e.controlOrderDelay)
 	mux.HandleFunc("POST /control/stall", controlStall(e.stall))
+	mux.HandleFunc("POST /control/fault", e.controlFault)
 	return mux
 }
 
--- a/internal/standin/enginehttp.go
+++ b/internal/standin/enginehttp.go
@@ -61,6 +61,11 @@
 		http.Error(w, fmt.Sprintf("max_tokens must be from 0 to %d", maxTokens), http.StatusBadRequest)
 		return
 	}
+	fault := e.presentFault()
+	if fault.Fail {
+		http.Error(w, "the engine is set to fail", http.StatusInternalServerError)
+		return
+	}
 	first := TokenCount(request.Generated)
 	s := e.add(request, first)
 	defer e.cancel(s)
@@ -75,6 +80,9 @@
 			return
 		}
 		writeEvent(w, e.event(request, s, position))
+		if fault.BreakAfter > 0 && position-first+1 >= fault.BreakAfter {
+			panic(http.ErrAbortHandler)
+		}
 		if e.crashes(request.Prompt) {
 			e.config.Crash()
 		}
@@ -215,11 +223,15 @@
 	Completed   int             `json:"completed"`
 	Canceled    int             `json:"canceled"`
 	Preemptions int             `json:"preemptions"`
+	// PromptTokens are those of all prefills, and CachedTokens the part of them
+	// that was found in the cache.
+	PromptTokens int `json:"prompt_tokens"`
+	CachedTokens int `json:"cached_tokens"`
 }
 
 func (e *Engine) controlCounts(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	counts := EngineCounts{Runs: maps.Clone(e.runs), Active: []ActiveRequest{}, Tokens: e.tokens, Completed: e.completed, Canceled: e.canceled, Preemptions: e.preemptions}
+	counts := EngineCounts{Runs: maps.Clone(e.runs), Active: []ActiveRequest{}, Tokens: e.tokens, Completed: e.completed, Canceled: e.canceled, Preemptions: e.preemptions, PromptTokens: e.promptTokens, CachedTokens: e.cachedTokens}
 	for _, s := range e.sequences {
 		counts.Active = append(counts.Active, ActiveRequest{RequestID: s.request, Priority: s.priority, Position: s.position, Running: s.running})
 	}
