link: offer large documents and fetch them from one peer

Every changed document was sent in full over every link, so a process got a large one from each of its peers.

Sending names only, for every document, was ruled out: a document of 500 bytes costs less than an offer with its request and one more round trip.

Documents of more than 4 KiB are now offered by name, revision and hash of the body. The receiver asks one peer for what it lacks and turns to the next peer that offered it after 1 s or when the link ends. The answer to a digest offers large documents too, so a starting process gets one copy. Comparing the configuration at heartbeats still finds what was lost.

--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -75,3 +75,22 @@
 	}
 	return []wire.Document{r.good, r.latest}
 }
+
+// Offer returns what names a document to a peer that may lack it.
+func Offer(d wire.Document) wire.DocumentOffer {
+	return wire.DocumentOffer{Name: d.Name, Revision: d.Revision, BodyHash: xxhash.Sum64String(d.Body)}
+}
+
+// holds reports whether merging the offered document could not change the
+// record.
+func (r *record) holds(o wire.DocumentOffer) bool {
+	if o.Revision < r.good.Revision {
+		return true
+	}
+	for _, d := range r.documents() {
+		if d.Revision == o.Revision && Offer(d) == o && !d.Deleted {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -175,6 +175,28 @@
 	return missing
 }
 
+// Holds reports whether an offered document would be nothing new.
+func (s *Store) Holds(o wire.DocumentOffer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[o.Name]
+	return ok && r.holds(o)
+}
+
+// Documents returns the latest and the last good revision of each named
+// document that the store holds.
+func (s *Store) Documents(names []string) []wire.Document {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var documents []wire.Document
+	for _, name := range names {
+		if r, ok := s.records[name]; ok {
+			documents = append(documents, r.documents()...)
+		}
+	}
+	return documents
+}
+
 // Status lists every document with the revision in force.
 func (s *Store) Status() []DocumentStatus {
 	s.mu.Lock()
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -184,3 +184,29 @@
 	s.HeardPlatform(0)
 	is.True(s.PlatformAge() < time.Second)
 }
+
+// Guards against an offer that a store declines although the document would
+// change it, and against one that it accepts for a document in force.
+func TestHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewStore(nil)
+		history := platformHistory(t)
+		for _, d := range history {
+			if rapid.Bool().Draw(t, "merged") {
+				s.Merge([]wire.Document{d}, 0)
+			}
+		}
+		d := rapid.SampledFrom(history).Draw(t, "offered")
+		if rapid.IntRange(0, 4).Draw(t, "faulty platform") == 0 {
+			d.Body += "\n"
+		}
+		held := s.Holds(Offer(d))
+		news := s.Merge([]wire.Document{d}, 0)
+		if held && len(news) > 0 {
+			t.Fatalf("%v was declined", d)
+		}
+		if !d.Deleted && validate(d) == nil && s.records[d.Name].good == d && !s.Holds(Offer(d)) {
+			t.Fatalf("%v is in force but would be fetched again", d)
+		}
+	})
+}
--- a/internal/link/configuration.go
+++ b/internal/link/configuration.go
@@ -1,6 +1,9 @@
 package link
 
 import (
+	"slices"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
@@ -11,6 +14,11 @@
 	documentsBytes = 512 << 10
 	// documentOverhead estimates the encoded fields beside name and body.
 	documentOverhead = 32
+	// pushedBytes is the size up to which a document is sent over every link at
+	// once. An entry VM has 40 links, so a larger one would be sent 40 times.
+	pushedBytes = 4 << 10
+	// offersPerMessage keeps offers with names of 256 bytes within a frame.
+	offersPerMessage = 4096
 )
 
 // PublishDocuments sends documents over every link. The platform watcher calls
@@ -20,7 +28,7 @@
 }
 
 func (m *Manager) forward(documents []wire.Document, storeRevision uint64, from *peer) {
-	messages := splitDocuments(documents, storeRevision)
+	messages := announce(documents, storeRevision)
 	for _, p := range m.peers(from) {
 		for _, message := range messages {
 			p.post(message)
@@ -28,6 +36,25 @@
 	}
 }
 
+// announce returns the messages that tell a peer of documents: small ones
+// themselves, and offers of the others.
+func announce(documents []wire.Document, storeRevision uint64) []wire.Message {
+	var small []wire.Document
+	var offers []wire.DocumentOffer
+	for _, d := range documents {
+		if len(d.Body) <= pushedBytes {
+			small = append(small, d)
+		} else {
+			offers = append(offers, config.Offer(d))
+		}
+	}
+	messages := splitDocuments(small, storeRevision)
+	for chunk := range slices.Chunk(offers, offersPerMessage) {
+		messages = append(messages, &wire.ConfigOffer{Documents: chunk, StoreRevision: storeRevision})
+	}
+	return messages
+}
+
 // splitDocuments divides documents over messages that fit a frame.
 func splitDocuments(documents []wire.Document, storeRevision uint64) []wire.Message {
 	var messages []wire.Message
@@ -70,13 +97,14 @@
 		p.sendDigest(false)
 	}
 	missing := p.manager.store.Missing(*digest)
-	for _, message := range splitDocuments(missing, p.manager.store.Revision()) {
+	for _, message := range announce(missing, p.manager.store.Revision()) {
 		p.post(message)
 	}
 }
 
 func (p *peer) receiveDocuments(message *wire.ConfigDocs) {
 	news := p.manager.store.Merge(message.Documents, message.StoreRevision)
+	p.manager.fetched(p, message.Documents)
 	// Entry VMs push to each other. An agent passes documents on only when a
 	// heartbeat shows that an entry VM lacks them.
 	if p.manager.View.Self().Role == fleet.RoleEntry {
--- a/internal/link/fleet_test.go
+++ b/internal/link/fleet_test.go
@@ -78,6 +78,23 @@
 	return missing
 }
 
+func (s *memoryStore) Holds(o wire.DocumentOffer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.documents[o.Name].Revision >= o.Revision
+}
+
+func (s *memoryStore) Documents(names []string) (documents []wire.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		if d, ok := s.documents[name]; ok {
+			documents = append(documents, d)
+		}
+	}
+	return documents
+}
+
 func (s *memoryStore) Revision() uint64            { return 0 }
 func (s *memoryStore) PlatformAge() time.Duration  { return 0 }
 func (s *memoryStore) HeardPlatform(time.Duration) {}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -42,6 +42,8 @@
 	Revision() uint64
 	Digest() wire.ConfigDigest
 	Missing(wire.ConfigDigest) []wire.Document
+	Holds(wire.DocumentOffer) bool
+	Documents(names []string) []wire.Document
 	PlatformAge() time.Duration
 	HeardPlatform(time.Duration)
 }
@@ -60,6 +62,10 @@
 	dialing map[member.Target]struct{}
 	// changed is closed when a link becomes ready or ends.
 	changed chan struct{}
+
+	fetchMu sync.Mutex
+	// fetches holds the documents that were asked for, by name.
+	fetches map[string]*fetch
 }
 
 // NewManager returns a manager; Run starts it.
@@ -70,6 +76,7 @@
 		links:   map[*peer]struct{}{},
 		dialing: map[member.Target]struct{}{},
 		changed: make(chan struct{}),
+		fetches: map[string]*fetch{},
 	}
 }
 
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -335,6 +335,7 @@
 	}
 	m.signal()
 	m.mu.Unlock()
+	m.askElsewhere(p, nil)
 	if last {
 		m.View.Lost(p.hello.Process, p.hello.Start)
 	}
--- a/internal/link/receive.go
+++ b/internal/link/receive.go
@@ -36,6 +36,12 @@
 	case *wire.ConfigDocs:
 		p.receiveDocuments(message)
 		return nil
+	case *wire.ConfigOffer:
+		p.receiveOffer(message)
+		return nil
+	case *wire.ConfigRequest:
+		p.receiveRequest(message)
+		return nil
 	case *wire.Suspicions:
 		p.receiveSuspicions(message)
 		return nil
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -57,36 +57,40 @@
 	kindOrderResult
 	kindMapCall
 	kindMapAnswer
+	kindConfigOffer
+	kindConfigRequest
 	// kindEnd follows the last kind.
 	kindEnd
 )
 
-func (*Open) messageKind() kind         { return kindOpen }
-func (*Hello) messageKind() kind        { return kindHello }
-func (*Heartbeat) messageKind() kind    { return kindHeartbeat }
-func (*Report) messageKind() kind       { return kindReport }
-func (*Members) messageKind() kind      { return kindMembers }
-func (*ConfigDigest) messageKind() kind { return kindConfigDigest }
-func (*ConfigDocs) messageKind() kind   { return kindConfigDocs }
-func (*Suspicions) messageKind() kind   { return kindSuspicions }
-func (*SuspicionAck) messageKind() kind { return kindSuspicionAck }
-func (*Submit) messageKind() kind       { return kindSubmit }
-func (*Attach) messageKind() kind       { return kindAttach }
-func (*Resolve) messageKind() kind      { return kindResolve }
-func (*Cancel) messageKind() kind       { return kindCancel }
-func (*Accepted) messageKind() kind     { return kindAccepted }
-func (*Begun) messageKind() kind        { return kindBegun }
-func (*Part) messageKind() kind         { return kindPart }
-func (*Response) messageKind() kind     { return kindResponse }
-func (*Chunk) messageKind() kind        { return kindChunk }
-func (*Done) messageKind() kind         { return kindDone }
-func (*Refused) messageKind() kind      { return kindRefused }
-func (*LeaseClaim) messageKind() kind   { return kindLeaseClaim }
-func (*Lease) messageKind() kind        { return kindLease }
-func (*OrderRequest) messageKind() kind { return kindOrderRequest }
-func (*OrderResult) messageKind() kind  { return kindOrderResult }
-func (*MapCall) messageKind() kind      { return kindMapCall }
-func (*MapAnswer) messageKind() kind    { return kindMapAnswer }
+func (*Open) messageKind() kind          { return kindOpen }
+func (*Hello) messageKind() kind         { return kindHello }
+func (*Heartbeat) messageKind() kind     { return kindHeartbeat }
+func (*Report) messageKind() kind        { return kindReport }
+func (*Members) messageKind() kind       { return kindMembers }
+func (*ConfigDigest) messageKind() kind  { return kindConfigDigest }
+func (*ConfigDocs) messageKind() kind    { return kindConfigDocs }
+func (*Suspicions) messageKind() kind    { return kindSuspicions }
+func (*SuspicionAck) messageKind() kind  { return kindSuspicionAck }
+func (*Submit) messageKind() kind        { return kindSubmit }
+func (*Attach) messageKind() kind        { return kindAttach }
+func (*Resolve) messageKind() kind       { return kindResolve }
+func (*Cancel) messageKind() kind        { return kindCancel }
+func (*Accepted) messageKind() kind      { return kindAccepted }
+func (*Begun) messageKind() kind         { return kindBegun }
+func (*Part) messageKind() kind          { return kindPart }
+func (*Response) messageKind() kind      { return kindResponse }
+func (*Chunk) messageKind() kind         { return kindChunk }
+func (*Done) messageKind() kind          { return kindDone }
+func (*Refused) messageKind() kind       { return kindRefused }
+func (*LeaseClaim) messageKind() kind    { return kindLeaseClaim }
+func (*Lease) messageKind() kind         { return kindLease }
+func (*OrderRequest) messageKind() kind  { return kindOrderRequest }
+func (*OrderResult) messageKind() kind   { return kindOrderResult }
+func (*MapCall) messageKind() kind       { return kindMapCall }
+func (*MapAnswer) messageKind() kind     { return kindMapAnswer }
+func (*ConfigOffer) messageKind() kind   { return kindConfigOffer }
+func (*ConfigRequest) messageKind() kind { return kindConfigRequest }
 
 // newMessage returns an empty message of kind k, or nil if k is unknown.
 func newMessage(k kind) Message {
@@ -143,6 +147,10 @@
 		return &MapCall{}
 	case kindMapAnswer:
 		return &MapAnswer{}
+	case kindConfigOffer:
+		return &ConfigOffer{}
+	case kindConfigRequest:
+		return &ConfigRequest{}
 	}
 	return nil
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -132,6 +132,26 @@
 	StoreRevision uint64     `cbor:"2,keyasint"`
 }
 
+// DocumentOffer names a revision of a document that the sender holds.
+type DocumentOffer struct {
+	Name     string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	// BodyHash tells contents apart that a faulty platform sent under one
+	// revision.
+	BodyHash uint64 `cbor:"3,keyasint"`
+}
+
+// ConfigOffer names documents that are too large to be sent over every link.
+type ConfigOffer struct {
+	Documents     []DocumentOffer `cbor:"1,keyasint"`
+	StoreRevision uint64          `cbor:"2,keyasint"`
+}
+
+// ConfigRequest asks for offered documents; the answer is ConfigDocs.
+type ConfigRequest struct {
+	Names []string `cbor:"1,keyasint"`
+}
+
 // Crash names one backend server start that ended while a request ran on it.
 type Crash struct {
 	Agent       fleet.ProcessID `cbor:"1,keyasint"`
