dynamic: keep accounts in shared blocks with sorted indexes

An entry process with 39,000 accounts had a peak of 51.6 MiB resident. Two maps over the accounts, the parsed form and a copy of the accounts per configuration were held twice during a change.

A garbage target of 25% was tried before and gave 48 MiB for 1.6 times the CPU, so the live data had to shrink.

The accounts of a document are now one immutable block: key hashes, ids in one string and template numbers. Configurations share blocks and hold only two indexes of 8 bytes per account, sorted by key and by id, that are searched by halving. The shares are scaled at the lookup. A property test compares the accounts in force with maps filled in document order. The entry tests build their configuration from documents, because the account maps are gone. The memory test counts the parsed form too and its bound went from 256 to 96 bytes per account.

--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -190,7 +190,7 @@
 	if m.Service != nil {
 		i.Bytes += int64(len(m.Service.Body))
 	}
-	if account := a.store.Effective().ByID[m.Account]; account != nil {
+	if account, ok := a.store.Effective().AccountByID(m.Account); ok {
 		i.Weight = account.EffectiveShare
 		if account.Template != nil {
 			i.FirstToken, i.MaxAge = account.Template.FirstToken, account.Template.MaxAge
--- a/internal/dynamic/compute.go
+++ b/internal/dynamic/compute.go
@@ -169,79 +169,30 @@
 }
 
 func (b *builder) addAccounts() {
-	b.makeAccountMaps()
+	var names []string
+	all := &b.effective.accounts
 	for _, d := range b.accounts {
 		accounts, ok := b.computer.accounts(d)
 		if !ok {
 			b.inactive(d.Name, "document", "does not decode")
 			continue
 		}
-		b.addDocumentAccounts(d.Name, accounts)
+		all.add(accounts, b.effective.Templates)
+		names = append(names, d.Name)
 	}
-}
-
-// makeAccountMaps makes the maps in their final size, because growing them
-// leaves as much garbage as they hold.
-func (b *builder) makeAccountMaps() {
-	n := 0
-	for _, d := range b.accounts {
-		n += strings.Count(d.Body, "[[account]]")
-	}
-	b.effective.Accounts = make(map[KeyHash]*Account, n)
-	b.effective.ByID = make(map[fleet.ClientAccount]*Account, n)
-}
-
-func (b *builder) addDocumentAccounts(document string, accounts []parsedAccount) {
-	// One array per document saves the allocator's overhead per account.
-	array := make([]Account, 0, len(accounts))
-	for _, a := range accounts {
-		template, ok := b.effective.Templates[a.template]
-		if !ok {
-			b.inactive(document, "account "+a.id, "template "+a.template+" does not exist")
-			continue
-		}
-		if b.taken(document, a.id, a.key) {
-			continue
-		}
-		array = append(array, Account{ID: fleet.ClientAccount(a.id), Template: template, Share: shareOf(a, template)})
-		added := &array[len(array)-1]
-		b.effective.Accounts[a.key] = added
-		b.effective.ByID[added.ID] = added
-	}
-}
-
-func (b *builder) taken(document, id string, key KeyHash) bool {
-	if _, ok := b.effective.ByID[fleet.ClientAccount(id)]; ok {
-		b.inactive(document, "account "+id, "a document of a lower revision has the same id")
-		return true
-	}
-	if _, ok := b.effective.Accounts[key]; ok {
-		b.inactive(document, "account "+id, "a document of a lower revision has the same key")
-		return true
-	}
-	return false
-}
-
-func shareOf(a parsedAccount, t *Template) float64 {
-	if a.ownShare {
-		return a.share
-	}
-	return t.Share
+	all.index(func(r accountRef, reason string) { b.inactive(names[r.block], "account "+all.id(r), reason) })
 }
 
 // scaleShares adds in the order of ids, because a floating-point sum depends
 // on its order.
 func (b *builder) scaleShares() {
 	sum := 0.0
-	for _, id := range sortedKeys(b.effective.ByID) {
-		sum += b.effective.ByID[id].Share
+	for _, r := range b.effective.accounts.byID {
+		sum += b.effective.accounts.share(r)
 	}
 	if sum > 1 {
 		b.effective.ShareScale = 1 / sum
 	}
-	for _, a := range b.effective.ByID {
-		a.EffectiveShare = a.Share * b.effective.ShareScale
-	}
 }
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
--- a/internal/dynamic/computer.go
+++ b/internal/dynamic/computer.go
@@ -1,6 +1,8 @@
 package dynamic
 
 import (
+	"strings"
+
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
@@ -16,19 +18,10 @@
 // parsedDocument holds the accounts of one body.
 type parsedDocument struct {
 	body     string
-	accounts []parsedAccount
+	accounts *block
 	valid    bool
 }
 
-// parsedAccount is an account without the text of its key.
-type parsedAccount struct {
-	id, template string
-	key          KeyHash
-	share        float64
-	// ownShare tells that share replaces the template's.
-	ownShare bool
-}
-
 // NewComputer returns a computer that has parsed nothing yet.
 func NewComputer() *Computer { return &Computer{parsed: map[string]parsedDocument{}} }
 
@@ -49,7 +42,7 @@
 }
 
 // accounts returns the accounts of a document, or false if it does not decode.
-func (c *Computer) accounts(d wire.Document) ([]parsedAccount, bool) {
+func (c *Computer) accounts(d wire.Document) (*block, bool) {
 	kept, ok := c.parsed[d.Name]
 	if !ok || kept.body != d.Body {
 		kept = parseAccounts(d.Body)
@@ -63,22 +56,32 @@
 	if err := toml.Unmarshal([]byte(body), &schema); err != nil {
 		return parsedDocument{body: body}
 	}
-	p := parsedDocument{body: body, valid: true, accounts: make([]parsedAccount, 0, len(schema.Accounts))}
-	templates := map[string]string{}
+	b := &block{
+		keys:      make([]KeyHash, 0, len(schema.Accounts)),
+		idEnds:    make([]uint32, 0, len(schema.Accounts)),
+		templates: make([]uint32, 0, len(schema.Accounts)),
+		shares:    map[uint32]float64{},
+	}
+	var ids strings.Builder
+	names := map[string]uint32{}
 	for _, a := range schema.Accounts {
 		key, err := parseKeyHash(a.KeySHA256)
 		if err != nil {
 			continue // a valid document has no such key
 		}
-		// One string per template name and document.
-		if _, ok := templates[a.Template]; !ok {
-			templates[a.Template] = a.Template
+		if _, ok := names[a.Template]; !ok {
+			names[a.Template] = uint32(len(b.names))
+			b.names = append(b.names, strings.Clone(a.Template))
 		}
-		account := parsedAccount{id: a.ID, template: templates[a.Template], key: key}
 		if a.Share != nil {
-			account.share, account.ownShare = *a.Share, true
+			b.shares[uint32(len(b.keys))] = *a.Share
 		}
-		p.accounts = append(p.accounts, account)
+		ids.WriteString(a.ID)
+		b.keys = append(b.keys, key)
+		b.idEnds = append(b.idEnds, uint32(ids.Len()))
+		b.templates = append(b.templates, names[a.Template])
 	}
-	return p
+	// The builder's buffer is up to twice as long as its text.
+	b.ids = strings.Clone(ids.String())
+	return parsedDocument{body: body, valid: true, accounts: b}
 }
--- a/internal/dynamic/computer_test.go
+++ b/internal/dynamic/computer_test.go
@@ -3,10 +3,14 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
+	"strings"
 	"testing"
 
+	"github.com/pelletier/go-toml/v2"
 	"pgregory.net/rapid"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
@@ -37,7 +41,61 @@
 			}
 			if kept, fresh := c.Compute(documents), Compute(documents); !reflect.DeepEqual(kept, fresh) {
 				t.Fatalf("kept parse: %+v\nfresh: %+v", kept, fresh)
+			} else {
+				checkAccounts(t, documents, kept)
 			}
 		}
 	})
 }
+
+// checkAccounts compares the accounts in force with those that maps, filled in
+// the order of the documents, hold.
+func checkAccounts(t *rapid.T, documents []wire.Document, e *Effective) {
+	keys, ids, inactive := map[KeyHash]Account{}, map[string]KeyHash{}, 0
+	for _, d := range inOrder(documents) {
+		var schema accountsSchema
+		if !strings.HasPrefix(d.Name, "accounts/") || toml.Unmarshal([]byte(d.Body), &schema) != nil {
+			continue
+		}
+		for _, a := range schema.Accounts {
+			key, _ := parseKeyHash(a.KeySHA256)
+			_, keyTaken := keys[key]
+			if _, idTaken := ids[a.ID]; idTaken || keyTaken || a.Template != "t" {
+				inactive++
+				continue
+			}
+			account := Account{ID: fleet.ClientAccount(a.ID), Template: e.Templates["t"], Share: e.Templates["t"].Share}
+			if a.Share != nil {
+				account.Share = *a.Share
+			}
+			account.EffectiveShare = account.Share * e.ShareScale
+			keys[key], ids[a.ID] = account, key
+		}
+	}
+	n := 0
+	for a := range e.Accounts() {
+		n++
+		if key, ok := ids[string(a.ID)]; !ok || keys[key] != *a {
+			t.Fatalf("account %+v is in force and not %+v", a, keys[key])
+		}
+	}
+	noted := 0
+	for _, i := range e.Inactive {
+		if strings.HasPrefix(i.Reference, "account ") {
+			noted++
+		}
+	}
+	if n != len(ids) || len(e.accounts.byKey) != n || noted != inactive {
+		t.Fatalf("%d accounts by id and %d by key instead of %d, %d inactive instead of %d", n, len(e.accounts.byKey), len(ids), noted, inactive)
+	}
+	for id, key := range ids {
+		a, ok := e.AccountByID(fleet.ClientAccount(id))
+		i := slices.IndexFunc(e.accounts.byKey, func(r accountRef) bool { return *e.accounts.key(r) == key })
+		if !ok || string(a.ID) != id || i < 0 || e.accounts.id(e.accounts.byKey[i]) != id {
+			t.Fatalf("account %s is not found by its id or key", id)
+		}
+	}
+	if _, ok := e.AccountByID("absent"); ok {
+		t.Fatal("an absent id was found")
+	}
+}
--- a/internal/dynamic/dynamic_test.go
+++ b/internal/dynamic/dynamic_test.go
@@ -76,9 +76,10 @@
 	}
 }
 
-// maxBytesPerAccount keeps 39,000 accounts below 10 MB, which leaves room for
-// the documents themselves and a second copy during a change within 32 MB.
-const maxBytesPerAccount = 256
+// maxBytesPerAccount keeps the parsed form and the indexes of 39,000 accounts
+// below 4 MB, which leaves room within 32 MB for the documents themselves and
+// for a second set of indexes during a change.
+const maxBytesPerAccount = 96
 
 // Guards against an account representation that outgrows a small VM.
 func TestMemoryPerAccount(t *testing.T) {
@@ -93,12 +94,14 @@
 		}
 	}
 	before := liveHeap()
-	e := Compute(documents)
+	c := NewComputer()
+	e := c.Compute(documents)
 	perAccount := (liveHeap() - before) / accounts
 	runtime.KeepAlive(documents)
-	t.Logf("%d bytes per account, %d accounts", perAccount, len(e.Accounts))
-	if len(e.Accounts) != accounts || perAccount > maxBytesPerAccount {
-		t.Errorf("%d accounts use %d bytes each, at most %d are allowed", len(e.Accounts), perAccount, maxBytesPerAccount)
+	runtime.KeepAlive(c)
+	t.Logf("%d bytes per account, %d accounts", perAccount, len(e.accounts.byKey))
+	if len(e.accounts.byKey) != accounts || perAccount > maxBytesPerAccount {
+		t.Errorf("%d accounts use %d bytes each, at most %d are allowed", len(e.accounts.byKey), perAccount, maxBytesPerAccount)
 	}
 }
 
--- a/internal/dynamic/effective.go
+++ b/internal/dynamic/effective.go
@@ -96,8 +96,7 @@
 	Models    map[string]Model
 	Services  map[string]Service
 	Templates map[string]*Template
-	Accounts  map[KeyHash]*Account
-	ByID      map[fleet.ClientAccount]*Account
+	accounts  accounts
 	// Engines holds what the engine of each agent should hold.
 	Engines map[fleet.ProcessID]Engine
 	// Groups holds the model groups by name.
@@ -107,9 +106,3 @@
 	// fit the fleet.
 	ShareScale float64
 }
-
-// AccountByKey returns the client account that a bearer key belongs to.
-func (e *Effective) AccountByKey(key string) (*Account, bool) {
-	a, ok := e.Accounts[HashKey(key)]
-	return a, ok
-}
--- a/internal/dynamic/fuzz_test.go
+++ b/internal/dynamic/fuzz_test.go
@@ -22,12 +22,14 @@
 			}
 		}
 		sum := 0.0
-		for _, a := range e.Accounts {
+		n := 0
+		for a := range e.Accounts() {
 			sum += a.EffectiveShare
+			n++
 		}
 		const rounding = 1e-9
-		if !(sum >= 0 && sum <= 1+rounding) || len(e.Accounts) != len(e.ByID) {
-			t.Errorf("shares add up to %v for %d keys and %d accounts", sum, len(e.Accounts), len(e.ByID))
+		if !(sum >= 0 && sum <= 1+rounding) || len(e.accounts.byKey) != n {
+			t.Errorf("shares add up to %v for %d keys and %d accounts", sum, len(e.accounts.byKey), n)
 		}
 	})
 }
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -75,13 +75,12 @@
 const testKey = "secret"
 
 func testConfiguration() *dynamic.Effective {
-	template := &dynamic.Template{Rank: fleet.RankMiddle, Models: []string{"m"}, Services: []string{"records"}}
-	account := &dynamic.Account{ID: "acme", Template: template}
-	return &dynamic.Effective{
-		Models:   map[string]dynamic.Model{"m": {Name: "m"}},
-		Services: map[string]dynamic.Service{"records": {Name: "records"}},
-		Accounts: map[dynamic.KeyHash]*dynamic.Account{dynamic.HashKey(testKey): account},
-	}
+	return dynamic.Compute([]wire.Document{
+		{Name: "models/m", Revision: 1},
+		{Name: "services/records", Revision: 1},
+		{Name: "templates/t", Revision: 1, Body: "rank = \"middle\"\nmodels = [\"m\"]\nservices = [\"records\"]\n"},
+		{Name: "accounts/a", Revision: 1, Body: "[[account]]\nid = \"acme\"\ntemplate = \"t\"\nkey_sha256 = \"" + dynamic.HashKey(testKey).String() + "\"\n"},
+	})
 }
 
 // startGate serves a gate in front of f.
