--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -261,6 +261,9 @@
 }
 
 func (p *peer) send(message wire.Message) error {
+	if a, ok := message.(answer); ok {
+		return p.sendDocuments(a.names)
+	}
 	p.stream.SetWriteDeadline(time.Now().Add(silenceLimit))
 	return p.stream.Send(message)
 }
@@ -335,6 +338,7 @@
 	}
 	m.signal()
 	m.mu.Unlock()
+	m.askElsewhere(p, nil)
 	if last {
 		m.View.Lost(p.hello.Process, p.hello.Start)
 	}
