--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -85,7 +85,7 @@
 }
 
 // startGate serves a gate in front of f.
-func startGate(t *testing.T, f *oneAgent, change func(*settings.EntryConfig)) *httptest.Server {
+func startGate(t testing.TB, f *oneAgent, change func(*settings.EntryConfig)) *httptest.Server {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "ticket.keys")
 	if err := os.WriteFile(path, []byte("1 "+strings.Repeat("ab", 32)+"\n"), 0o600); err != nil {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -22,7 +22,7 @@
 )
 
 // writeIdentity writes a new key with a certificate that certifies itself.
-func writeIdentity(t *testing.T, dir string) KeyFiles {
+func writeIdentity(t testing.TB, dir string) KeyFiles {
 	t.Helper()
 	is := is.New(t)
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -42,7 +42,7 @@
 	return files
 }
 
-func endpoint(t *testing.T, files KeyFiles) *Endpoint {
+func endpoint(t testing.TB, files KeyFiles) *Endpoint {
 	t.Helper()
 	is := is.New(t)
 	id, err := LoadIdentity(files)
