Look up the latency histograms once per rank

Cause: the profile of an entry process under load showed the tagged metric scope of every token at 14.6% of the allocated bytes; in the relay's benchmark it was 30% of the allocations.

Ruled out: sampling the tokens, which would lose the exact counts.

Change: both histograms are resolved per rank when the counters are made.

--- a/internal/entry/usage/usage.go
+++ b/internal/entry/usage/usage.go
@@ -34,6 +34,10 @@
 // Usage counts. It is safe for concurrent use.
 type Usage struct {
 	scope tally.Scope
+	// The histograms are looked up once: a lookup by tags allocates, and every
+	// token is counted.
+	firstToken    [fleet.RankCount]tally.Histogram
+	betweenTokens [fleet.RankCount]tally.Histogram
 
 	mu       sync.Mutex
 	accounts map[fleet.ClientAccount]*Account
@@ -42,7 +46,13 @@
 
 // New returns counters that are exported over scope.
 func New(scope tally.Scope) *Usage {
-	return &Usage{scope: scope, accounts: map[fleet.ClientAccount]*Account{}}
+	u := &Usage{scope: scope, accounts: map[fleet.ClientAccount]*Account{}}
+	for rank := range fleet.RankCount {
+		ranked := scope.Tagged(map[string]string{"rank": fleet.Rank(rank).String()})
+		u.firstToken[rank] = ranked.Histogram("first_token", firstTokenBuckets)
+		u.betweenTokens[rank] = ranked.Histogram("between_tokens", betweenTokensBuckets)
+	}
+	return u
 }
 
 var firstTokenBuckets = tally.DurationBuckets{
@@ -55,18 +65,14 @@
 	76 * time.Millisecond, 150 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second,
 }
 
-func (u *Usage) ranked(rank fleet.Rank) tally.Scope {
-	return u.scope.Tagged(map[string]string{"rank": rank.String()})
-}
-
 // FirstToken notes the time from arrival to the first part.
 func (u *Usage) FirstToken(rank fleet.Rank, d time.Duration) {
-	u.ranked(rank).Histogram("first_token", firstTokenBuckets).RecordDuration(d)
+	u.firstToken[rank].RecordDuration(d)
 }
 
 // BetweenTokens notes the time between two parts.
 func (u *Usage) BetweenTokens(rank fleet.Rank, d time.Duration) {
-	u.ranked(rank).Histogram("between_tokens", betweenTokensBuckets).RecordDuration(d)
+	u.betweenTokens[rank].RecordDuration(d)
 }
 
 // Retried counts a retry.
