Reuse the buffers of frames

Cause: the profile of an entry process under load showed wire.Read at 10% of the CPU time; a part's frame took 6 allocations on its way: body, frame, grown frame, header and decoded body among them.

Ruled out: shared memory between a message and its frame. The decoder copies texts and bytes; a test reads many frames and compares all of them afterwards.

Change: the body is encoded behind the header in a pooled buffer and written at once; the body is decoded from a pooled buffer. Buffers above 64 KiB are not kept.

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,10 +1,13 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -159,24 +162,52 @@
 	return mode
 }
 
+// encoder has the default options.
+var encoder = mustEncoder()
+
+func mustEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// maxPooledBytes bounds the buffers that are kept for reuse, so that a large
+// document does not stay in memory.
+const maxPooledBytes = 64 << 10
+
+var outgoing = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // Write encodes m with a timestamp and writes it as one frame.
 func Write(w io.Writer, stamp events.Timestamp, m Message) error {
-	body, err := cbor.Marshal(m)
-	if err != nil {
+	frame := outgoing.Get().(*bytes.Buffer)
+	defer func() {
+		if frame.Cap() <= maxPooledBytes {
+			outgoing.Put(frame)
+		}
+	}()
+	frame.Reset()
+	var header [headerBytes]byte
+	frame.Write(header[:])
+	if err := encoder.MarshalToBuffer(m, frame); err != nil {
 		return fmt.Errorf("encode %T: %w", m, err)
 	}
-	length := kindBytes + stampBytes + len(body)
+	length := frame.Len() - lengthBytes
 	if length > MaxFrameBytes {
 		return fmt.Errorf("%w: %T of %d bytes exceeds %d", ErrFrame, m, length, MaxFrameBytes)
 	}
-	frame := make([]byte, headerBytes, headerBytes+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(length))
-	frame[lengthBytes] = byte(m.messageKind())
-	binary.BigEndian.PutUint64(frame[lengthBytes+kindBytes:], uint64(stamp))
-	_, err = w.Write(append(frame, body...))
+	data := frame.Bytes()
+	binary.BigEndian.PutUint32(data, uint32(length))
+	data[lengthBytes] = byte(m.messageKind())
+	binary.BigEndian.PutUint64(data[lengthBytes+kindBytes:], uint64(stamp))
+	_, err := w.Write(data)
 	return err
 }
 
+// bodies are reused after decoding: the decoder copies what it keeps.
+var bodies = sync.Pool{New: func() any { return new([]byte) }}
+
 // Read reads one frame. It returns ErrFrame for bad content and the reader's
 // error, such as io.EOF between frames, otherwise.
 func Read(r io.Reader) (Message, events.Timestamp, error) {
@@ -192,13 +223,25 @@
 	if m == nil {
 		return nil, 0, fmt.Errorf("%w: kind %d", ErrFrame, header[lengthBytes])
 	}
-	body := make([]byte, length-kindBytes-stampBytes)
-	if _, err := io.ReadFull(r, body); err != nil {
+	if err := readBody(r, int(length-kindBytes-stampBytes), m); err != nil {
 		return nil, 0, err
 	}
-	if err := decoder.Unmarshal(body, m); err != nil {
-		return nil, 0, fmt.Errorf("%w: %v", ErrFrame, err)
+	return m, events.Timestamp(binary.BigEndian.Uint64(header[lengthBytes+kindBytes:])), nil
+}
+
+func readBody(r io.Reader, length int, m Message) error {
+	body := bodies.Get().(*[]byte)
+	defer func() {
+		if cap(*body) <= maxPooledBytes {
+			bodies.Put(body)
+		}
+	}()
+	*body = slices.Grow((*body)[:0], length)[:length]
+	if _, err := io.ReadFull(r, *body); err != nil {
+		return err
 	}
-	stamp := events.Timestamp(binary.BigEndian.Uint64(header[lengthBytes+kindBytes:]))
-	return m, stamp, nil
+	if err := decoder.Unmarshal(*body, m); err != nil {
+		return fmt.Errorf("%w: %v", ErrFrame, err)
+	}
+	return nil
 }
--- a/internal/wire/frame_test.go
+++ b/internal/wire/frame_test.go
@@ -104,3 +104,27 @@
 		is.True(errors.Is(err, ErrFrame))
 	}
 }
+
+// Guards against a message that shares memory with the reused buffer of a frame
+// and changes when a later frame is read.
+func TestMessagesOutliveTheirFrame(t *testing.T) {
+	is := is.New(t)
+	var frames bytes.Buffer
+	const count = 50
+	for i := range count {
+		text := strings.Repeat(string(rune('a'+i%26)), 100)
+		is.NoErr(Write(&frames, 1, &Part{Text: text}))
+		is.NoErr(Write(&frames, 1, &Chunk{Data: []byte(text)}))
+	}
+	var got []Message
+	for range 2 * count {
+		m, _, err := Read(&frames)
+		is.NoErr(err)
+		got = append(got, m)
+	}
+	for i := range count {
+		text := strings.Repeat(string(rune('a'+i%26)), 100)
+		is.Equal(got[2*i].(*Part).Text, text)
+		is.Equal(string(got[2*i+1].(*Chunk).Data), text)
+	}
+}
