integration: queue hang-ups at the agent with middle-rank requests

Ruled out: a slot that stays taken; the failure is before the first hang-up. Change: the test's requests ask for the middle rank. Bounds and checks as before. Conclusion: the test meets its precondition again.

--- a/integration/callers_test.go
+++ b/integration/callers_test.go
@@ -56,6 +56,9 @@
 	}
 	request.Header.Set("Authorization", "Bearer key-alpha")
 	request.Header.Set("Request-Timeout-Ms", "60000")
+	// Top-rank work may run beyond the slots of an engine that preempts, so it
+	// would not wait in the agent's queue.
+	request.Header.Set("Request-Rank", "middle")
 	return (&http.Client{Transport: &http.Transport{}}).Do(request)
 }
 
