link: bound the connections that other processes hold open

Cause: the listener between processes had bounds for streams, frames and times, but none for open connections. Ruled out: a bound in transport.Endpoint; dialed and accepted connections share it, and only accepted ones come from outside. Change: link.Config.MaxAccepted, 512 by default; a connection beyond it is closed at once with the event link.refused. Before: unbounded.

--- a/internal/link/dial.go
+++ b/internal/link/dial.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/member"
 	"github.com/coltsfootbay/coltsfootbay/internal/transport"
@@ -34,7 +35,14 @@
 		if err != nil {
 			return err
 		}
+		if m.accepted.Add(1) > int64(m.MaxAccepted) {
+			m.accepted.Add(-1)
+			conn.Close()
+			m.Recorder.Record("link.refused", "", events.F("address", conn.RemoteAddress()))
+			continue
+		}
 		group.Go(func() error {
+			defer m.accepted.Add(-1)
 			m.serve(ctx, group, conn, "")
 			return nil
 		})
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -33,8 +33,15 @@
 	// in its own goroutine and closes the stream. Its context ends with Run and
 	// not with the connection. Run waits for it.
 	HandleRequest func(context.Context, *transport.Stream)
+	// MaxAccepted bounds the open connections that others dialed; a further one
+	// is closed at once. Zero means defaultMaxAccepted.
+	MaxAccepted int
 }
 
+// defaultMaxAccepted is several times the links of the largest planned fleet:
+// an agent has up to 21 entry VMs, an entry VM about 10 peers.
+const defaultMaxAccepted = 512
+
 // store is the part of config.Store that links use.
 type store interface {
 	Merge(documents []wire.Document, storeRevision uint64) []wire.Document
@@ -53,6 +60,7 @@
 	Config
 	store    store
 	count    atomic.Uint64
+	accepted atomic.Int64
 	sequence atomic.Uint64
 
 	mu sync.Mutex
@@ -70,6 +78,9 @@
 
 // NewManager returns a manager; Run starts it.
 func NewManager(c Config) *Manager {
+	if c.MaxAccepted == 0 {
+		c.MaxAccepted = defaultMaxAccepted
+	}
 	return &Manager{
 		Config:  c,
 		store:   c.Store,
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -162,3 +162,30 @@
 type discard struct{}
 
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// Guards against a peer that exhausts memory with connections, and against a
+// bound that is not released.
+func TestAcceptedConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	id := newIdentity(t)
+	p := start(t, id, fleet.RoleEntry, 0, func(c *Config) { c.MaxAccepted = 2 })
+	client := start(t, id, fleet.RoleEntry, 1, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+	defer cancel()
+	dial := func() *transport.Conn {
+		conn, err := client.Endpoint.Dial(ctx, p.View.Self().Address)
+		is.NoErr(err)
+		return conn
+	}
+	first := dial()
+	dial()
+	eventually(t, "two connections", time.Second, func() bool { return p.accepted.Load() == 2 })
+	refused := dial()
+	select {
+	case <-refused.Context().Done():
+	case <-time.After(time.Second):
+		t.Fatal("a connection beyond the bound stays open")
+	}
+	first.Close()
+	eventually(t, "a free place", 2*time.Second, func() bool { return p.accepted.Load() == 1 })
+}
