--- /dev/null
+++ b/internal/admission/decay.go
@@ -0,0 +1,14 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// decayed returns what is left of x after a time, with a half-life.
+func decayed(x float64, after, halfLife time.Duration) float64 {
+	if x == 0 || after <= 0 {
+		return x
+	}
+	return x * math.Exp2(-after.Seconds()/halfLife.Seconds())
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,201 @@
+// Package admission decides in which order the requests that wait at a gateway
+// get the places of a model group, and which of them are refused. It makes no
+// calls and starts no goroutines.
+//
+// Load patterns it answers: a flood of less urgent work (urgent ranks go first
+// and the flood waits), a flood of the most urgent work (each rank keeps a floor
+// of the places), one account that asks for much more than the others (places
+// go to the account that had least), and demand beyond the capacity (a request
+// that can't start in time is refused as soon as that is known, so that what is
+// served is served on time).
+package admission
+
+import (
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+)
+
+const (
+	// floorEvery gives every so many-th place to the rank that waits and had the
+	// fewest places, so that a flood of urgent work leaves the others a part.
+	floorEvery = 8
+	// usageHalfLife is the time in which an account's past use counts half.
+	usageHalfLife = 4 * time.Second
+	// rateHalfLife is the time over which the rate of places is averaged.
+	rateHalfLife = time.Second
+)
+
+// Item is a request that waits, with a value for the owner of the queue.
+type Item[T any] struct {
+	Value   T
+	ID      fleet.RequestID
+	Account fleet.ClientAccount
+	// Urgency is 0 for the most urgent rank.
+	Urgency int
+	// Work is the estimated work in tokens.
+	Work float64
+	// Arrived is when the request came, Latest when it is refused if it has no
+	// place yet.
+	Arrived, Latest time.Time
+}
+
+// Queue holds waiting items. It is not safe for concurrent use.
+type Queue[T any] struct {
+	items  []*Item[T]
+	usage  map[fleet.ClientAccount]*usage
+	grants int
+	// byRank counts the recent grants of each rank.
+	byRank map[int]float64
+	// rate is the average number of grants a second while items wait.
+	rate     float64
+	lastRate time.Time
+}
+
+type usage struct {
+	work float64
+	at   time.Time
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any]() *Queue[T] {
+	return &Queue[T]{usage: map[fleet.ClientAccount]*usage{}, byRank: map[int]float64{}}
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return len(q.items) }
+
+// Push adds an item.
+func (q *Queue[T]) Push(i *Item[T]) { q.items = append(q.items, i) }
+
+// Ahead returns how many items would get a place before a new one of a rank.
+func (q *Queue[T]) Ahead(urgency int) int {
+	n := 0
+	for _, i := range q.items {
+		if i.Urgency <= urgency {
+			n++
+		}
+	}
+	return n
+}
+
+// Wait estimates how long a new item of a rank would wait; ok is false while
+// the rate of places is unknown.
+func (q *Queue[T]) Wait(urgency int) (wait time.Duration, ok bool) {
+	if q.rate <= 0 {
+		return 0, false
+	}
+	return time.Duration(float64(q.Ahead(urgency)) / q.rate * float64(time.Second)), true
+}
+
+// Remove takes an item out, for a caller that left. It returns false if the
+// item does not wait any more.
+func (q *Queue[T]) Remove(i *Item[T]) bool {
+	for k, x := range q.items {
+		if x == i {
+			q.removeAt(k)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue[T]) removeAt(k int) {
+	q.items = append(q.items[:k], q.items[k+1:]...)
+}
+
+// Expired takes out the items that are too late for a place.
+func (q *Queue[T]) Expired(now time.Time) []*Item[T] {
+	var out []*Item[T]
+	kept := q.items[:0]
+	for _, i := range q.items {
+		if now.After(i.Latest) {
+			out = append(out, i)
+		} else {
+			kept = append(kept, i)
+		}
+	}
+	clear(q.items[len(kept):])
+	q.items = kept
+	return out
+}
+
+// Pop takes out the item that gets the next place, or returns nil.
+func (q *Queue[T]) Pop(now time.Time) *Item[T] {
+	if len(q.items) == 0 {
+		return nil
+	}
+	q.grants++
+	rank := q.mostUrgent()
+	if q.grants%floorEvery == 0 {
+		rank = q.leastServed()
+	}
+	best := -1
+	var bestUse float64
+	for k, i := range q.items {
+		if i.Urgency != rank {
+			continue
+		}
+		use := q.used(i.Account, now)
+		if best < 0 || use < bestUse {
+			best, bestUse = k, use
+		}
+	}
+	item := q.items[best]
+	q.removeAt(best)
+	q.Charge(item, now)
+	return item
+}
+
+// Charge counts a place that an item got, from the queue or at once.
+func (q *Queue[T]) Charge(i *Item[T], now time.Time) {
+	for rank := range q.byRank {
+		q.byRank[rank] *= 1 - 1.0/64
+	}
+	q.byRank[i.Urgency]++
+	u := q.usage[i.Account]
+	if u == nil {
+		u = &usage{}
+		q.usage[i.Account] = u
+	}
+	u.work = decayed(u.work, now.Sub(u.at), usageHalfLife) + i.Work
+	u.at = now
+	q.countRate(now)
+}
+
+func (q *Queue[T]) countRate(now time.Time) {
+	if !q.lastRate.IsZero() {
+		q.rate = decayed(q.rate, now.Sub(q.lastRate), rateHalfLife)
+	}
+	// With this weight the average settles at the number of grants a second.
+	const perGrant = 0.6931
+	q.rate += perGrant / rateHalfLife.Seconds()
+	q.lastRate = now
+}
+
+func (q *Queue[T]) used(a fleet.ClientAccount, now time.Time) float64 {
+	u := q.usage[a]
+	if u == nil {
+		return 0
+	}
+	return decayed(u.work, now.Sub(u.at), usageHalfLife)
+}
+
+func (q *Queue[T]) mostUrgent() int {
+	best := q.items[0].Urgency
+	for _, i := range q.items {
+		best = min(best, i.Urgency)
+	}
+	return best
+}
+
+// leastServed returns the waiting rank that got the fewest places lately.
+func (q *Queue[T]) leastServed() int {
+	best := q.items[0].Urgency
+	for _, i := range q.items {
+		if q.byRank[i.Urgency] < q.byRank[best] {
+			best = i.Urgency
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/balance/pool.go
@@ -0,0 +1,226 @@
+// Package balance chooses the backend server of a service for a request. It
+// works on what this process knows: its own requests, the servers' reports and
+// the outcomes of earlier requests. It makes no calls.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/outlier"
+)
+
+const (
+	// probation is how long a server that failed gets no work, doubled for each
+	// failure in a row up to maxProbation.
+	probation    = 400 * time.Millisecond
+	maxProbation = 3 * time.Second
+	// reportLifetime is how long a report counts. Without a newer one, the own
+	// requests of this process are all that is known.
+	reportLifetime = 1500 * time.Millisecond
+)
+
+// Backend is a backend server as this process sees it.
+type Backend struct {
+	Server *deployment.Server
+
+	// running is the number of this process's requests at the server.
+	running int
+	// reported is the load of all callers as of reportedAt, sinceReport how much
+	// this process has added since.
+	reported    int
+	sinceReport int
+	reportedAt  time.Time
+
+	failures    outlier.Share
+	inARow      int
+	avoidedTill time.Time
+}
+
+// load estimates how many requests the server has.
+func (b *Backend) load(now time.Time) int {
+	if b.reportedAt.IsZero() || now.Sub(b.reportedAt) > reportLifetime {
+		return b.running
+	}
+	return max(b.reported+b.sinceReport, b.running)
+}
+
+func (b *Backend) usable(now time.Time) bool {
+	return !b.Server.Leaving && !now.Before(b.avoidedTill)
+}
+
+// Pool holds the backend servers of one service. It is safe for concurrent use.
+type Pool struct {
+	zone fleet.AvailabilityZone
+	now  func() time.Time
+
+	mu       sync.Mutex
+	backends map[string]*Backend
+}
+
+// NewPool returns an empty pool. Servers in zone are preferred among equals.
+func NewPool(zone fleet.AvailabilityZone) *Pool {
+	return &Pool{zone: zone, now: time.Now, backends: map[string]*Backend{}}
+}
+
+// Update replaces the servers. What is known of a server is kept as long as it
+// is the same start at the same address.
+func (p *Pool) Update(servers []*deployment.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*Backend, len(servers))
+	for _, s := range servers {
+		b := p.backends[s.ID]
+		if b == nil || b.Server.Address != s.Address || b.Server.Born != s.Born {
+			b = &Backend{}
+		}
+		b.Server = s
+		next[s.ID] = b
+	}
+	p.backends = next
+}
+
+// Constraint says which servers a request may go to.
+type Constraint struct {
+	// Except holds the IDs of servers that the request was sent to before.
+	Except []string
+	// Limit is the load below which a server takes a request; 0 means no limit.
+	Limit int
+}
+
+// Acquire returns the server with the least load and counts the request there,
+// or nil if none is below the limit. Servers that failed lately are used only
+// if there is no other. Release must follow.
+func (p *Pool) Acquire(c Constraint) *Backend {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	best := p.least(c, now, true)
+	if best == nil {
+		best = p.least(c, now, false)
+	}
+	if best == nil {
+		return nil
+	}
+	best.running++
+	best.sinceReport++
+	return best
+}
+
+// least returns the server with the least load, or nil.
+func (p *Pool) least(c Constraint, now time.Time, healthy bool) *Backend {
+	var best *Backend
+	bestKey, ties := 0, 0
+	for _, b := range p.backends {
+		if b.Server.Leaving || (healthy && !b.usable(now)) || contains(c.Except, b.Server.ID) {
+			continue
+		}
+		load := b.load(now)
+		if c.Limit > 0 && load >= c.Limit {
+			continue
+		}
+		// The zone decides only between servers with the same load.
+		key := 2 * load
+		if b.Server.Zone != p.zone {
+			key++
+		}
+		switch {
+		case best == nil || key < bestKey:
+			best, bestKey, ties = b, key, 1
+		case key == bestKey:
+			ties++
+			if rand.IntN(ties) == 0 {
+				best = b
+			}
+		}
+	}
+	return best
+}
+
+func contains(ids []string, id string) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Release ends the count of a request.
+func (p *Pool) Release(b *Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.running--
+	if b.sinceReport > -b.reported {
+		b.sinceReport--
+	}
+}
+
+// Succeeded notes an answer that the server gave in full.
+func (p *Pool) Succeeded(b *Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.failures.Ended(false)
+	b.inARow = 0
+}
+
+// Failed notes a request that the server failed, and avoids the server for a
+// while if it fails often. dead tells that the server could not be reached or
+// broke off.
+func (p *Pool) Failed(b *Backend, dead bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.failures.Ended(true)
+	b.inARow++
+	if !dead && !b.failures.Outlier() {
+		return
+	}
+	pause := min(probation<<min(b.inARow-1, 4), maxProbation)
+	b.avoidedTill = p.now().Add(pause)
+}
+
+// Report takes a server's load as of now.
+func (p *Pool) Report(id string, load int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		b.reported, b.sinceReport, b.reportedAt = load, 0, p.now()
+	}
+}
+
+// Totals describes a pool.
+type Totals struct {
+	// Servers is the number of servers that take work, Load the estimate of all
+	// their requests, Own this process's part.
+	Servers, Load, Own int
+}
+
+// Totals returns the present sums.
+func (p *Pool) Totals() Totals {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	var t Totals
+	for _, b := range p.backends {
+		t.Own += b.running
+		if b.usable(now) {
+			t.Servers++
+			t.Load += b.load(now)
+		}
+	}
+	return t
+}
+
+// Servers returns the servers of the pool, leaving ones included.
+func (p *Pool) Servers() []*deployment.Server {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*deployment.Server, 0, len(p.backends))
+	for _, b := range p.backends {
+		out = append(out, b.Server)
+	}
+	return out
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -44,6 +44,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntry(), newAgent(), newCheck(), newStatus(), newTimeline(), newVersion(), newKeys())
+	root.AddCommand(newEntry(), newAgent(), newCheck(), newStatus(), newTimeline(), newVersion(), newKeys(), newGateway(), newRankAgent())
 	return root
 }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,288 @@
+// Package gateway takes callers' requests and forwards them to backend servers
+// over connections of its own: plain requests with retries where the route
+// allows them, streams event by event with resumption at another server.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/feed"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/retry"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+const (
+	// staleAfter is the age of the copy of the configuration from which a missing
+	// route or key may be newer than the copy. Such a request is refused with 503
+	// and not with 404 or 401. The feed confirms the copy every 1.2 s.
+	staleAfter = 1800 * time.Millisecond
+	// revokeMargin is kept from the time for which a key may be used on an old
+	// copy, for the way from here to the backend server.
+	revokeMargin = 300 * time.Millisecond
+	// defaultPatience is the time for a request that names none.
+	defaultPatience = 30 * time.Second
+	// defaultBodyBytes bounds a body while the configuration names no limit.
+	defaultBodyBytes = 1 << 20
+	// bodyMemoryShare is the part of the process's memory for bodies.
+	bodyMemoryShare = 0.25
+	// dialTimeout bounds the opening of a connection to a backend server, which
+	// takes a round trip of about 1 ms and the server's handshake of 1 ms.
+	dialTimeout = 350 * time.Millisecond
+	// idlePerServer and idleLifetime bound the kept connections to a server.
+	idlePerServer = 32
+	idleLifetime  = 10 * time.Second
+	// maxAnswerBytes bounds a plain answer that is kept until it is complete, so
+	// that a broken one can be replaced. Longer ones are passed on unchecked.
+	maxAnswerBytes = 256 << 10
+)
+
+// Config is what a Gateway works with.
+type Config struct {
+	Zone     fleet.AvailabilityZone
+	Feed     *feed.Feed
+	Headers  Headers
+	Recorder *events.Recorder
+	Metrics  *Metrics
+	// Revoke is how long after its removal a key may be used.
+	Revoke time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound this process's repeated sends.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// MemoryBytes is the memory of the process.
+	MemoryBytes int64
+}
+
+// Gateway handles callers' requests. It is an http.Handler.
+type Gateway struct {
+	Config
+	services *services
+	budget   *retry.Window
+	kept     *http.Client
+	fresh    *http.Client
+	bodies   atomic.Int64
+	// active counts the requests that are being handled.
+	active  sync.WaitGroup
+	leaving atomic.Bool
+}
+
+// New returns a gateway. Run must be called too.
+func New(c Config) *Gateway {
+	return &Gateway{
+		Config:   c,
+		services: newServices(c.Zone, c.Recorder),
+		budget:   retry.NewWindow(c.RetryRatio, c.RetrySlack, c.RetryWindow),
+		kept:     &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
+		fresh:    &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
+	}
+}
+
+func newTransport(once bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		DisableKeepAlives:      once,
+		MaxIdleConnsPerHost:    idlePerServer,
+		IdleConnTimeout:        idleLifetime,
+		ExpectContinueTimeout:  0,
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Run follows the feed until ctx is done.
+func (g *Gateway) Run(ctx context.Context) {
+	tick := time.NewTicker(expiryInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.Feed.Changed():
+			g.services.update(g.Feed.Snapshot())
+		case <-tick.C:
+			g.services.expire()
+		}
+	}
+}
+
+// Leave makes the gateway close callers' connections after their answers.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Ready reports whether the gateway can serve requests.
+func (g *Gateway) Ready() bool {
+	return !g.leaving.Load() && g.Feed.Snapshot().Configuration != nil
+}
+
+// Wait returns when no request is being handled.
+func (g *Gateway) Wait() { g.active.Wait() }
+
+// Load takes a backend server's load as reported by its agent.
+func (g *Gateway) Load(service, server string, load int) {
+	g.services.report(service, server, load)
+}
+
+// SetLimit sets how many requests a rank of a model service runs at a time.
+func (g *Gateway) SetLimit(service string, perRank int) { g.services.setLimit(service, perRank) }
+
+// request is a caller's request on its way.
+type request struct {
+	Call
+	in      *http.Request
+	body    []byte
+	route   *deployment.Route
+	service *deployment.Service
+	account fleet.ClientAccount
+	urgency int
+	arrived time.Time
+	// deadline is when the caller or the route stops waiting.
+	deadline time.Time
+	// tried holds the servers that the request was sent to.
+	tried []string
+	// runs counts the servers that may have run the request.
+	runs int
+}
+
+func (r *request) left() time.Duration { return time.Until(r.deadline) }
+
+// ServeHTTP handles one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	g.active.Add(1)
+	defer g.active.Done()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	r, refusal := g.accept(w, in)
+	if refusal != nil {
+		g.refuse(w, r, refusal)
+		return
+	}
+	defer g.bodies.Add(-int64(len(r.body)))
+	ctx, cancel := context.WithDeadline(in.Context(), r.deadline)
+	defer cancel()
+	if r.route.Kind == deployment.Streaming {
+		g.serveStream(ctx, w, r)
+		return
+	}
+	g.servePlain(ctx, w, r)
+}
+
+// accept reads a request and decides whether it is served.
+func (g *Gateway) accept(w http.ResponseWriter, in *http.Request) (*request, *verdict.Error) {
+	r := &request{Call: g.Headers.Call(in.Header), in: in, arrived: time.Now()}
+	c := g.Feed.Snapshot().Configuration
+	if c == nil {
+		return r, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, "no configuration was read yet").WithRetryAfter(time.Second)
+	}
+	if refusal := g.authorize(c, r); refusal != nil {
+		return r, refusal
+	}
+	patience := defaultPatience
+	if r.HasPatience {
+		patience = r.Patience
+	}
+	if r.route.Timeout > 0 {
+		patience = min(patience, r.route.Timeout)
+	}
+	r.deadline = r.arrived.Add(patience)
+	return r, g.readBody(w, r, c.Limits)
+}
+
+// authorize finds the route, the service and the client account.
+func (g *Gateway) authorize(c *deployment.Configuration, r *request) *verdict.Error {
+	age := g.Feed.Age()
+	r.route = c.Route(r.in.Host, r.in.URL.EscapedPath())
+	if r.route == nil {
+		return g.unknown(age, http.StatusNotFound, verdict.ReasonUnknownService, "no route for this host and path")
+	}
+	r.urgency = r.route.Urgency
+	if !r.route.Anonymous && c.Keys != nil {
+		account := c.Keys[r.Key]
+		if account == nil {
+			return g.unknown(age, http.StatusUnauthorized, verdict.ReasonUnauthenticated, "the key is not known")
+		}
+		if age > g.Revoke-revokeMargin {
+			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration,
+				"the keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(time.Second)
+		}
+		r.account = account.Name
+		if account.Urgency >= 0 {
+			r.urgency = account.Urgency
+		}
+	}
+	r.service = c.Services[pickTarget(r.route.Targets)]
+	if r.service == nil {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonUnknownService, "the route's service is not described").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// unknown refuses what the copy of the configuration does not have. An old copy
+// proves nothing.
+func (g *Gateway) unknown(age time.Duration, status int, reason verdict.Reason, detail string) *verdict.Error {
+	if age > staleAfter {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, "%s; the configuration was last confirmed %s ago",
+			detail, age.Round(time.Millisecond)).WithRetryAfter(time.Second)
+	}
+	return verdict.Refuse(status, reason, "%s", detail)
+}
+
+// pickTarget draws a service by weight.
+func pickTarget(targets []deployment.Target) string {
+	total := 0
+	for _, t := range targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		return ""
+	}
+	n := rand.IntN(total)
+	for _, t := range targets {
+		n -= max(t.Weight, 0)
+		if n < 0 {
+			return t.Service
+		}
+	}
+	return ""
+}
+
+// readBody reads the whole body: a repeated send needs it, and a backend server
+// must not wait for a slow caller.
+func (g *Gateway) readBody(w http.ResponseWriter, r *request, limits deployment.Limits) *verdict.Error {
+	limit := int64(limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if r.in.ContentLength > limit {
+		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
+	}
+	if float64(g.bodies.Load()+max(r.in.ContentLength, 0)) > bodyMemoryShare*float64(g.MemoryBytes) {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "the bodies of other requests fill the memory").WithRetryAfter(time.Second)
+	}
+	if r.in.Body == nil || r.in.Body == http.NoBody {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.in.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
+	}
+	if err != nil {
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body did not arrive in full: %v", err)
+	}
+	r.body = body
+	g.bodies.Add(int64(len(body)))
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Metrics counts what a gateway does.
+type Metrics struct {
+	scope tally.Scope
+	// Refused counts the requests that the gateway answered by itself.
+	Refused tally.Counter
+	// RetriesDenied counts repeated sends that the budget did not allow.
+	RetriesDenied tally.Counter
+	// Resumed counts streams that went on at another server.
+	Resumed tally.Counter
+	// Waited is the time in the queue of a model service.
+	Waited tally.Histogram
+	// FirstEvent is the time from a request to the first event of its stream.
+	FirstEvent tally.Histogram
+	// Gap is the time between two events of a stream.
+	Gap tally.Histogram
+	// Took is the time of a whole request.
+	Took  tally.Histogram
+	codes map[int]tally.Counter
+}
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 80 * time.Millisecond, 120 * time.Millisecond,
+	200 * time.Millisecond, 350 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second,
+}
+
+// NewMetrics returns metrics in a scope.
+func NewMetrics(scope tally.Scope) *Metrics {
+	m := &Metrics{
+		scope:         scope,
+		Refused:       scope.Counter("requests_refused"),
+		RetriesDenied: scope.Counter("retries_denied"),
+		Resumed:       scope.Counter("streams_resumed"),
+		Waited:        scope.Histogram("queue_wait_seconds", latencyBuckets),
+		FirstEvent:    scope.Histogram("first_event_seconds", latencyBuckets),
+		Gap:           scope.Histogram("event_gap_seconds", latencyBuckets),
+		Took:          scope.Histogram("request_seconds", latencyBuckets),
+		codes:         map[int]tally.Counter{},
+	}
+	for _, status := range []int{200, 400, 401, 404, 413, 421, 429, 500, 502, 503, 504} {
+		m.codes[status] = scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_ended")
+	}
+	return m
+}
+
+// Ended counts the end of a request.
+func (m *Metrics) Ended(status int, took time.Duration) {
+	m.Took.RecordDuration(took)
+	if c, ok := m.codes[status]; ok {
+		c.Inc(1)
+		return
+	}
+	m.scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_ended").Inc(1)
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/balance"
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+// hedgeShare is the part of a safe route's goal after which a server that has
+// not answered is given up for another one.
+const hedgeShare = 0.75
+
+// servePlain forwards a request to a plain service and passes the whole answer
+// on.
+func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *request) {
+	g.budget.Request()
+	x := g.services.get(r.service.Name)
+	var last sent
+	for {
+		p := x.tryPlace(balance.Constraint{Except: r.tried})
+		if p == nil {
+			g.finishFailed(ctx, w, r, last)
+			return
+		}
+		s, body := g.exchange(ctx, r, p)
+		last = s
+		if s.err == nil && !retryable(s.resp.StatusCode) && s.verdict != verdict.NotRun {
+			g.pass(w, r, s, body)
+			return
+		}
+		if ctx.Err() != nil || !g.mayRepeat(r, s) {
+			if s.err == nil {
+				g.pass(w, r, s, body)
+				return
+			}
+			g.finishFailed(ctx, w, r, s)
+			return
+		}
+		g.Recorder.Record("request_repeated", r.ID, events.F("server", p.backend.Server.ID), events.F("cause", s.cause()), events.F("left_ms", r.left().Milliseconds()))
+	}
+}
+
+// exchange sends a request and reads the whole answer.
+func (g *Gateway) exchange(ctx context.Context, r *request, p *place) (sent, []byte) {
+	defer p.release()
+	if r.route.Kind == deployment.Safe && len(r.tried)+1 < r.route.MaxServers {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, g.patience(r))
+		defer cancel()
+	}
+	s := g.send(ctx, r, p, r.LastEvent)
+	if s.verdict != verdict.NotRun {
+		r.runs++
+	}
+	var body []byte
+	if s.err == nil {
+		body, s.err = io.ReadAll(io.LimitReader(s.resp.Body, maxAnswerBytes+1))
+		_ = s.resp.Body.Close()
+		if s.err == nil && len(body) > maxAnswerBytes {
+			s.err = errors.New("the answer is too long to be kept")
+		}
+	}
+	switch {
+	case s.err != nil, retryable(s.resp.StatusCode) && s.verdict != verdict.NotRun:
+		g.failed(ctx, r, p, s)
+	case s.verdict != verdict.NotRun:
+		p.service.pool.Succeeded(p.backend)
+	}
+	return s, body
+}
+
+// patience is how long a safe request waits for one server before another one
+// is tried.
+func (g *Gateway) patience(r *request) time.Duration {
+	d := r.left() / 2
+	if r.route.Goal > 0 {
+		d = min(d, time.Duration(hedgeShare*float64(r.route.Goal)))
+	}
+	return max(d, minPatience)
+}
+
+// cause describes why a send did not serve the request.
+func (s sent) cause() string {
+	switch {
+	case s.err != nil:
+		return s.err.Error()
+	case s.resp != nil:
+		return http.StatusText(s.resp.StatusCode)
+	}
+	return "not sent"
+}
+
+// pass gives a server's answer to the caller.
+func (g *Gateway) pass(w http.ResponseWriter, r *request, s sent, body []byte) {
+	copyHeader(w.Header(), g.Headers.Answer(s.resp.Header))
+	w.WriteHeader(s.resp.StatusCode)
+	if _, err := w.Write(body); err != nil {
+		g.finish(r, s.resp.StatusCode, "caller_left", err.Error())
+		return
+	}
+	g.finish(r, s.resp.StatusCode, "answered", "")
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/internal/gateway/services.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/admission"
+	"github.com/coltsfootbay/coltsfootbay/internal/balance"
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/feed"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+)
+
+// expiryInterval is how often waiting requests are checked for lateness.
+const expiryInterval = 20 * time.Millisecond
+
+// services holds a pool of backend servers and a queue for each service.
+type services struct {
+	zone     fleet.AvailabilityZone
+	recorder *events.Recorder
+
+	mu     sync.Mutex
+	byName map[string]*service
+}
+
+// service is one service's pool with the requests that wait for it.
+type service struct {
+	pool *balance.Pool
+
+	mu    sync.Mutex
+	queue *admission.Queue[chan *place]
+	// limit is the number of requests that a server runs at a time; 0 means that
+	// requests never wait here.
+	limit int
+}
+
+func newServices(zone fleet.AvailabilityZone, recorder *events.Recorder) *services {
+	return &services{zone: zone, recorder: recorder, byName: map[string]*service{}}
+}
+
+func (s *services) get(name string) *service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x := s.byName[name]
+	if x == nil {
+		x = &service{pool: balance.NewPool(s.zone), queue: admission.NewQueue[chan *place]()}
+		s.byName[name] = x
+	}
+	return x
+}
+
+func (s *services) all() []*service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*service, 0, len(s.byName))
+	for _, x := range s.byName {
+		out = append(out, x)
+	}
+	return out
+}
+
+// update takes the servers and limits of a snapshot.
+func (s *services) update(snapshot *feed.Snapshot) {
+	if snapshot.Configuration == nil {
+		return
+	}
+	for name, d := range snapshot.Configuration.Services {
+		x := s.get(name)
+		x.pool.Update(snapshot.Servers[name])
+		x.initLimit(d)
+		x.dispatch()
+	}
+}
+
+func (s *services) report(name, server string, load int) {
+	x := s.get(name)
+	x.pool.Report(server, load)
+}
+
+func (s *services) setLimit(name string, perRank int) {
+	x := s.get(name)
+	x.mu.Lock()
+	x.limit = perRank
+	x.mu.Unlock()
+	x.dispatch()
+}
+
+func (s *services) expire() {
+	for _, x := range s.all() {
+		x.dispatch()
+	}
+}
+
+// initLimit gives a model service the engine's own number of slots until the
+// controller of its group says something else.
+func (x *service) initLimit(d *deployment.Service) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if d.Engine != nil && x.limit == 0 {
+		x.limit = max(d.Engine.Slots*2/3, 1)
+	}
+}
+
+// place is a request's right to run at a server.
+type place struct {
+	service *service
+	backend *balance.Backend
+}
+
+// release gives the place to the next request.
+func (p *place) release() {
+	p.service.pool.Release(p.backend)
+	p.service.dispatch()
+}
+
+// item is a request that waits; its value gets a place, or nil when the request
+// became too late.
+type item = admission.Item[chan *place]
+
+// tryPlace returns a place that is free now whatever waits, or nil.
+func (x *service) tryPlace(c balance.Constraint) *place {
+	b := x.pool.Acquire(c)
+	if b == nil {
+		return nil
+	}
+	return &place{service: x, backend: b}
+}
+
+// acquire waits for a place in the order of the queue. It returns nil when the
+// item became too late or ctx is done.
+func (x *service) acquire(ctx context.Context, i *item) *place {
+	i.Value = make(chan *place, 1)
+	x.mu.Lock()
+	x.queue.Push(i)
+	x.mu.Unlock()
+	x.dispatch()
+	select {
+	case p := <-i.Value:
+		return p
+	case <-ctx.Done():
+	}
+	x.mu.Lock()
+	removed := x.queue.Remove(i)
+	x.mu.Unlock()
+	if removed {
+		return nil
+	}
+	if p := <-i.Value; p != nil {
+		p.release()
+	}
+	return nil
+}
+
+// dispatch gives the free places to waiting requests and refuses those that are
+// too late.
+func (x *service) dispatch() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	for _, late := range x.queue.Expired(now) {
+		late.Value <- nil
+	}
+	for x.queue.Len() > 0 {
+		p := x.tryPlace(balance.Constraint{Limit: x.limit})
+		if p == nil {
+			return
+		}
+		x.queue.Pop(now).Value <- p
+	}
+}
+
+// wait estimates the time in the queue for a new request.
+func (x *service) wait(urgency int) (time.Duration, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.queue.Wait(urgency)
+}
--- /dev/null
+++ b/internal/gateway/sse.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 64 << 10
+
+var errEventTooLong = errors.New("an event of the stream is too long")
+
+// eventReader splits a stream of server-sent events into whole events.
+type eventReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, 2<<10)}
+}
+
+// next returns the bytes of the next event, its closing blank line included,
+// and the event's id, or -1 if it has none. The bytes are valid until the next
+// call. An event that breaks off is not returned: its bytes are in rest.
+func (e *eventReader) next() (event []byte, id int64, err error) {
+	e.buf = e.buf[:0]
+	id = -1
+	for {
+		line, err := e.r.ReadSlice('\n')
+		e.buf = append(e.buf, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(e.buf) <= maxEventBytes {
+			continue
+		}
+		if err != nil {
+			return nil, -1, err
+		}
+		if len(e.buf) > maxEventBytes {
+			return nil, -1, errEventTooLong
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return e.buf, id, nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
+				id = n
+			}
+		}
+	}
+}
+
+// rest reports whether bytes of an event that broke off were read.
+func (e *eventReader) rest() bool { return len(e.buf) > 0 }
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,247 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/balance"
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+)
+
+const (
+	// firstEventReserve is the part of a route's goal that reading the prompt and
+	// the first pass take at a server that has a place.
+	firstEventReserve = 180 * time.Millisecond
+	// silenceLimit is the time without an event from which a server counts as
+	// lost. Callers leave after 2 s, and a group that lost a rank hangs for 1.5 s
+	// before it breaks its work off.
+	silenceLimit = 1800 * time.Millisecond
+	// tokensPerEvent converts the caller's estimate to work.
+	defaultAnswerTokens = 100
+)
+
+var errSilent = errors.New("the server sent no event in time")
+
+// stream is a streaming request that is being served, over one or more servers.
+type stream struct {
+	g *Gateway
+	w http.ResponseWriter
+	r *request
+	x *service
+	// begun tells that the caller has the headers of the answer.
+	begun  bool
+	status int
+	// last is the last whole event that the caller has.
+	last   int64
+	events int
+	lastAt time.Time
+	maxGap time.Duration
+}
+
+// serveStream forwards a streaming request.
+func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *request) {
+	g.budget.Request()
+	x := g.services.get(r.service.Name)
+	p, refusal := g.firstPlace(ctx, x, r)
+	if refusal != nil {
+		g.refuse(w, r, refusal)
+		return
+	}
+	s := &stream{g: g, w: w, r: r, x: x, last: r.LastEvent}
+	for {
+		out := s.run(ctx, p)
+		if out.err == nil {
+			s.ended()
+			return
+		}
+		if ctx.Err() != nil || !g.mayRepeat(r, out) {
+			s.broken(ctx, out)
+			return
+		}
+		next := x.tryPlace(balance.Constraint{Except: r.tried})
+		if next == nil {
+			s.broken(ctx, out)
+			return
+		}
+		g.Metrics.Resumed.Inc(1)
+		g.Recorder.Record("stream_resumed", r.ID, events.F("from", p.backend.Server.ID), events.F("to", next.backend.Server.ID),
+			events.F("after_event", s.last), events.F("cause", out.cause()), events.F("left_ms", r.left().Milliseconds()))
+		p = next
+	}
+}
+
+// firstPlace waits for a place, or refuses a request that could not begin in
+// time.
+func (g *Gateway) firstPlace(ctx context.Context, x *service, r *request) (*place, *verdict.Error) {
+	latest := r.deadline
+	if goal := r.route.Goal; goal > 0 {
+		latest = r.arrived.Add(max(goal-firstEventReserve, goal/8))
+	}
+	wait, known := x.wait(r.urgency)
+	if known && r.arrived.Add(wait).After(latest) {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "the wait would be about %s", wait.Round(time.Millisecond)).
+			WithRetryAfter(g.returnTime(r, wait))
+	}
+	p := x.acquire(ctx, &item{
+		ID: r.ID, Account: r.account, Urgency: r.urgency, Work: work(r), Arrived: r.arrived, Latest: latest,
+	})
+	g.Metrics.Waited.RecordDuration(time.Since(r.arrived))
+	if p == nil {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "no place was free in %s",
+			time.Since(r.arrived).Round(time.Millisecond)).WithRetryAfter(g.returnTime(r, wait))
+	}
+	return p, nil
+}
+
+// work estimates the work of a request in tokens. A token that is written costs
+// about ten times one that is read.
+func work(r *request) float64 {
+	answer := r.AnswerTokens
+	if answer == 0 {
+		answer = defaultAnswerTokens
+	}
+	return float64(r.PromptTokens + 10*answer)
+}
+
+// run sends the request to one server and relays its events. The outcome has no
+// error if the answer is complete.
+func (s *stream) run(ctx context.Context, p *place) sent {
+	defer p.release()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	out := s.g.send(ctx, s.r, p, s.last)
+	if out.verdict != verdict.NotRun {
+		s.r.runs++
+	}
+	if out.err == nil {
+		out = s.relay(out, watchdog)
+	}
+	if cause := context.Cause(ctx); out.err != nil && errors.Is(cause, errSilent) {
+		out.err = errSilent
+	}
+	switch {
+	case out.err == nil:
+		p.service.pool.Succeeded(p.backend)
+	case out.verdict != verdict.NotRun:
+		s.g.failed(ctx, s.r, p, out)
+	}
+	return out
+}
+
+var (
+	errRefusedByServer = errors.New("the server refused the request")
+	errFailedByServer  = errors.New("the server failed the request")
+	errBrokenOff       = errors.New("the stream broke off")
+)
+
+// relay passes the answer on, event by event.
+func (s *stream) relay(out sent, watchdog *time.Timer) sent {
+	defer func() { _ = out.resp.Body.Close() }()
+	if out.resp.StatusCode != http.StatusOK {
+		return s.relayFailure(out)
+	}
+	if !s.begun {
+		copyHeader(s.w.Header(), s.g.Headers.Answer(out.resp.Header))
+		s.w.Header().Del("Content-Length")
+		s.w.WriteHeader(out.resp.StatusCode)
+		s.begun, s.status = true, out.resp.StatusCode
+	}
+	events := newEventReader(out.resp.Body)
+	flusher := http.NewResponseController(s.w)
+	for {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) && !events.rest() {
+			return out
+		}
+		if err != nil {
+			out.err = errBrokenOff
+			return out
+		}
+		watchdog.Reset(silenceLimit)
+		if id >= 0 && id <= s.last {
+			// The server went on from an earlier event than asked.
+			continue
+		}
+		if _, err := s.w.Write(event); err != nil {
+			out.err = err
+			return out
+		}
+		if err := flusher.Flush(); err != nil {
+			out.err = err
+			return out
+		}
+		s.passed(id)
+	}
+}
+
+// passed notes an event that the caller got.
+func (s *stream) passed(id int64) {
+	now := time.Now()
+	if s.events == 0 {
+		s.g.Metrics.FirstEvent.RecordDuration(now.Sub(s.r.arrived))
+	} else {
+		gap := now.Sub(s.lastAt)
+		s.maxGap = max(s.maxGap, gap)
+		s.g.Metrics.Gap.RecordDuration(gap)
+	}
+	s.events++
+	s.lastAt = now
+	if id >= 0 {
+		s.last = id
+	}
+}
+
+// relayFailure handles an answer that is no stream. It is kept for the caller
+// in case no other server can serve the request.
+func (s *stream) relayFailure(out sent) sent {
+	out.err = errFailedByServer
+	if out.reply.NotRun {
+		out.err = errRefusedByServer
+	} else if !retryable(out.resp.StatusCode) && !s.begun {
+		// The request itself is at fault; another server would say the same.
+		body, err := io.ReadAll(io.LimitReader(out.resp.Body, maxAnswerBytes))
+		if err == nil {
+			copyHeader(s.w.Header(), s.g.Headers.Answer(out.resp.Header))
+			s.w.WriteHeader(out.resp.StatusCode)
+			s.begun, s.status = true, out.resp.StatusCode
+			_, err = s.w.Write(body)
+		}
+		out.err = err
+		return out
+	}
+	discard(out.resp)
+	return out
+}
+
+func (s *stream) ended() {
+	s.g.finish(s.r, s.status, "answered", s.summary())
+}
+
+// summary describes the stream for the log.
+func (s *stream) summary() string {
+	if s.events == 0 {
+		return ""
+	}
+	return "events=" + itoa(s.events) + " max_gap_ms=" + itoa(int(s.maxGap.Milliseconds()))
+}
+
+// broken ends a stream that could not be completed. A caller that has a part of
+// it must not take it for complete, so its connection is closed.
+func (s *stream) broken(ctx context.Context, out sent) {
+	if !s.begun {
+		s.g.finishFailed(ctx, s.w, s.r, out)
+		return
+	}
+	outcome := "broken_off"
+	if errors.Is(ctx.Err(), context.Canceled) {
+		outcome = "caller_left"
+	}
+	s.g.finish(s.r, s.status, outcome, s.summary()+" cause="+out.cause())
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/node/rankagent.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/logsink"
+	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
+	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+	"github.com/coltsfootbay/coltsfootbay/internal/rankagent"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+)
+
+// RunRankAgent runs the agent beside an engine and logs to w. It returns nil
+// when ctx is done.
+func RunRankAgent(ctx context.Context, c settings.NodeConfig, a Adapter, w io.Writer) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB) * 1e6))
+	sink := logsink.New(w)
+	defer sink.Close(logFlush)
+	recorder := events.NewRecorder(fleet.ProcessID(c.Name), fleet.NewStartID(), sink)
+	m := metrics.New(map[string]string{"process": c.Name})
+	address := net.JoinHostPort(c.IP, strconv.Itoa(c.Listen.FirstFreePort))
+	socket, err := peers.Open(address)
+	if err != nil {
+		return err
+	}
+	agent := rankagent.New(rankagent.Config{
+		Name: c.Name, Address: address, Seeds: c.Peers.Seeds, Engine: a.Engine(c.Rank.Engine), Recorder: recorder,
+		Send: func(to string, message peers.Message) {
+			if err := socket.Send(to, message); err != nil {
+				m.Scope.Counter("datagrams_unsent").Inc(1)
+			}
+		},
+	})
+	recorder.Record("started", "", events.F("zone", c.Zone), events.F("address", address), events.F("engine", c.Rank.Engine))
+	group, running := errgroup.WithContext(ctx)
+	servers := []*http.Server{
+		{Addr: address, Handler: agent.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		{Addr: metricsAddress(c), Handler: m.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+	}
+	for _, s := range servers {
+		group.Go(func() error { return serve(s) })
+	}
+	group.Go(func() error { agent.Run(running); return nil })
+	group.Go(func() error {
+		return socket.Receive(agent.Receive, func(error) { m.Scope.Counter("datagrams_malformed").Inc(1) })
+	})
+	group.Go(func() error {
+		<-running.Done()
+		for _, s := range servers {
+			// Calls that are open end as unanswered, which their senders allow for.
+			_ = s.Close()
+		}
+		return socket.Close()
+	})
+	err = group.Wait()
+	recorder.Record("stopped", "", events.F("error", errorText(err)))
+	return errors.Join(err, m.Close())
+}
--- /dev/null
+++ b/internal/peers/members.go
@@ -0,0 +1,143 @@
+package peers
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+)
+
+const (
+	// HelloInterval is the time between two messages to the same gateway.
+	HelloInterval = 500 * time.Millisecond
+	// aliveFor is the time without a message after which a gateway counts as
+	// lost: three messages and a little more.
+	aliveFor = 1600 * time.Millisecond
+	// forgetAfter is when a lost gateway is no longer called.
+	forgetAfter = 30 * time.Second
+	// knownPerHello bounds the addresses of others in a Hello.
+	knownPerHello = 10
+)
+
+// Members is a gateway's view of all gateways. It is safe for concurrent use.
+type Members struct {
+	self     func() Peer
+	seeds    []string
+	recorder *events.Recorder
+	now      func() time.Time
+
+	mu    sync.Mutex
+	peers map[string]*member // by control address
+}
+
+type member struct {
+	Peer
+	// heard is zero for an address that never answered.
+	heard time.Time
+	added time.Time
+	alive bool
+}
+
+// NewMembers returns a view that knows only the seeds. self describes this
+// gateway.
+func NewMembers(self func() Peer, seeds []string, recorder *events.Recorder) *Members {
+	return &Members{self: self, seeds: seeds, recorder: recorder, now: time.Now, peers: map[string]*member{}}
+}
+
+// Heard takes a gateway's message.
+func (m *Members) Heard(h *Hello) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	me := m.self().Control
+	if h.From.Control == me {
+		return
+	}
+	x := m.peers[h.From.Control]
+	if x == nil {
+		x = &member{added: now}
+		m.peers[h.From.Control] = x
+	}
+	if !x.alive || x.Start != h.From.Start || x.Serving != h.From.Serving {
+		m.recorder.Record("gateway_seen", "", events.F("gateway", h.From.Name), events.F("address", h.From.Control), events.F("serving", h.From.Serving))
+	}
+	x.Peer, x.heard, x.alive = h.From, now, true
+	for _, address := range h.Known {
+		if address != me && m.peers[address] == nil {
+			m.peers[address] = &member{Peer: Peer{Control: address}, added: now}
+		}
+	}
+}
+
+// Tick drops lost gateways and returns the addresses to greet and the greeting.
+func (m *Members) Tick() ([]string, *Hello) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	self := m.self()
+	to := map[string]bool{}
+	for _, seed := range m.seeds {
+		to[seed] = true
+	}
+	var known []string
+	for address, x := range m.peers {
+		silent := now.Sub(x.heard)
+		if x.heard.IsZero() {
+			silent = now.Sub(x.added)
+		}
+		if x.alive && silent > aliveFor {
+			x.alive = false
+			m.recorder.Record("gateway_lost", "", events.F("gateway", x.Name), events.F("silent_ms", silent.Milliseconds()))
+		}
+		if silent > forgetAfter {
+			delete(m.peers, address)
+			continue
+		}
+		to[address] = true
+		if x.alive {
+			known = append(known, address)
+		}
+	}
+	delete(to, self.Control)
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	out := make([]string, 0, len(to))
+	for address := range to {
+		out = append(out, address)
+	}
+	return out, &Hello{From: self, Known: known[:min(len(known), knownPerHello)]}
+}
+
+// Alive returns all gateways that were heard lately and this one, by start.
+func (m *Members) Alive() []Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	out := []Peer{m.self()}
+	for _, x := range m.peers {
+		if x.alive && now.Sub(x.heard) <= aliveFor {
+			out = append(out, x.Peer)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Start != out[j].Start {
+			return out[i].Start < out[j].Start
+		}
+		return out[i].Name < out[j].Name
+	})
+	return out
+}
+
+// Controller returns the gateway that controls the groups: the one that has run
+// longest, so that a restart does not move the control. Two gateways that don't
+// hear each other may both be controllers; the ranks' engines keep that safe.
+func (m *Members) Controller() Peer {
+	alive := m.Alive()
+	for _, p := range alive {
+		if p.Serving {
+			return p
+		}
+	}
+	return alive[0]
+}
--- /dev/null
+++ b/internal/peers/socket.go
@@ -0,0 +1,98 @@
+// Package peers carries the small messages between processes: gateways that
+// find each other and watch over each other, agents that report their ranks,
+// and the controller that tells what it decided. Messages are CBOR datagrams;
+// each is repeated or replaced by a later one, so that a lost one does no harm.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxDatagram bounds a datagram, in bytes. Larger ones would be fragmented on
+// usual links.
+const maxDatagram = 1400
+
+// ErrTooLong is returned for a message that does not fit into a datagram.
+var ErrTooLong = errors.New("the message does not fit into a datagram")
+
+// Socket sends and receives messages.
+type Socket struct{ conn *net.UDPConn }
+
+// Open listens for datagrams on an IP address and port.
+func Open(address string) (*Socket, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, err
+	}
+	return &Socket{conn: conn}, nil
+}
+
+// Close ends Receive.
+func (s *Socket) Close() error { return s.conn.Close() }
+
+// Send sends a message to an IP address and port. No error doesn't mean that it
+// arrives.
+func (s *Socket) Send(address string, m Message) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return err
+	}
+	data, err := encode(m)
+	if err != nil {
+		return err
+	}
+	_, err = s.conn.WriteToUDPAddrPort(data, to)
+	return err
+}
+
+func encode(m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if len(body)+1 > maxDatagram {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLong, len(body))
+	}
+	return append([]byte{m.kind()}, body...), nil
+}
+
+// Receive calls handle with each message until the socket is closed. Datagrams
+// that are no messages are dropped and counted by malformed.
+func (s *Socket) Receive(handle func(Message), malformed func(error)) error {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			malformed(err)
+			continue
+		}
+		handle(m)
+	}
+}
+
+func decode(data []byte) (Message, error) {
+	if len(data) == 0 {
+		return nil, errors.New("empty datagram")
+	}
+	m := newMessage(data[0])
+	if m == nil {
+		return nil, fmt.Errorf("unknown kind of datagram: %d", data[0])
+	}
+	return m, cbor.Unmarshal(data[1:], m)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,9 @@
 	SlotsPerRank int
 	// BytesPerExpert is the size of one expert's weights, in bytes.
 	BytesPerExpert int64
+	// NewPerRank is how many experts that the present map does not have at a rank
+	// one decision may give it; 0 means no limit.
+	NewPerRank int
 }
 
 // State is what is measured and in force when a decision is made.
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -44,6 +44,10 @@
 	// pinned marks replicas that this search added, by rank and expert. They are
 	// not taken away again, so a forced change cannot be undone.
 	pinned [][]bool
+	// present is the map in force, added the number of experts per rank that it
+	// does not have there.
+	present Map
+	added   []int
 
 	touched []int
 	old     []float64
@@ -53,11 +57,13 @@
 func newSearch(g Group, s State) *search {
 	x := &search{
 		group: g, loads: s.Loads, speeds: s.Speeds, m: s.Present.Clone(),
-		held:   make([][]int, g.Ranks),
-		times:  RankTimes(s.Present, s.Loads, s.Speeds),
-		old:    make([]float64, g.Ranks),
-		marked: make([]bool, g.Ranks),
-		pinned: make([][]bool, g.Ranks),
+		held:    make([][]int, g.Ranks),
+		times:   RankTimes(s.Present, s.Loads, s.Speeds),
+		old:     make([]float64, g.Ranks),
+		marked:  make([]bool, g.Ranks),
+		pinned:  make([][]bool, g.Ranks),
+		present: s.Present,
+		added:   make([]int, g.Ranks),
 	}
 	for rank := range x.pinned {
 		x.pinned[rank] = make([]bool, len(s.Loads))
@@ -193,7 +199,7 @@
 			try(change{edit{expert, slowest, none}, noEdit, 0})
 		}
 		for rank := range x.times {
-			if x.times[rank] < x.times[slowest] && !slices.Contains(x.m[expert], rank) {
+			if x.times[rank] < x.times[slowest] && !slices.Contains(x.m[expert], rank) && x.mayAdd(expert, rank) {
 				x.toRank(expert, slowest, rank, try)
 			}
 		}
@@ -221,12 +227,17 @@
 		if len(x.m[other]) > 1 {
 			room(edit{other, rank, none})
 		}
-		if movable && !slices.Contains(x.m[other], slowest) {
+		if movable && !slices.Contains(x.m[other], slowest) && x.mayAdd(other, slowest) {
 			try(change{move, edit{other, rank, slowest}, 2})
 		}
 	}
 }
 
+// mayAdd reports whether a rank may get one more expert.
+func (x *search) mayAdd(expert, rank int) bool {
+	return x.group.NewPerRank == 0 || x.added[rank] < x.group.NewPerRank || slices.Contains(x.present[expert], rank)
+}
+
 // commit makes a change permanent.
 func (x *search) commit(c change) {
 	for _, e := range []edit{c.first, c.second} {
@@ -241,6 +252,9 @@
 			x.m[e.expert] = with(x.m[e.expert], e.to)
 			x.held[e.to] = with(x.held[e.to], e.expert)
 			x.pinned[e.to][e.expert] = true
+			if !slices.Contains(x.present[e.expert], e.to) {
+				x.added[e.to]++
+			}
 		}
 	}
 	// Recomputed, so that rounding does not add up over the changes.
--- /dev/null
+++ b/internal/rankagent/engine.go
@@ -0,0 +1,96 @@
+// Package rankagent runs beside the engine of one rank. It reads what only the
+// engine's own machine can read at no cost and carries out orders there.
+package rankagent
+
+import (
+	"context"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+)
+
+// Picks is what an engine tells about the choice of experts.
+type Picks struct {
+	Epoch int64
+	// Counts holds, by layer and expert, the choices since the engine started.
+	Counts [][]uint64
+}
+
+// Maps holds a rank's experts by layer.
+type Maps struct {
+	Epoch int64   `cbor:"1,keyasint"`
+	Map   RankMap `cbor:"2,keyasint"`
+	// Prepared is nil when nothing is prepared.
+	Prepared *RankMap `cbor:"3,keyasint,omitempty"`
+}
+
+// RankMap is one version of a rank's experts.
+type RankMap struct {
+	Version int64   `cbor:"1,keyasint"`
+	Experts [][]int `cbor:"2,keyasint"`
+}
+
+// Operation is what an order asks.
+type Operation uint8
+
+// Operations of an order.
+const (
+	// Prepare copies the experts of a version that the rank lacks.
+	Prepare Operation = iota + 1
+	// Arm makes the rank use a prepared version from a pass on.
+	Arm
+	// Disarm takes Arm back.
+	Disarm
+	// Hold keeps the group from beginning a pass.
+	Hold
+	// Go ends Hold.
+	Go
+)
+
+// String returns the name used in logs.
+func (o Operation) String() string {
+	return [...]string{"none", "prepare", "arm", "disarm", "hold", "go"}[min(o, Go)]
+}
+
+// Order is one order to an engine. An engine carries it out only in Epoch.
+type Order struct {
+	Operation Operation `cbor:"1,keyasint"`
+	Epoch     int64     `cbor:"2,keyasint"`
+	Version   int64     `cbor:"3,keyasint,omitempty"`
+	Step      int64     `cbor:"4,keyasint,omitempty"`
+	// Map holds, for Prepare, the experts by layer and rank.
+	Map [][][]int `cbor:"5,keyasint,omitempty"`
+}
+
+// Outcome is an engine's answer to an order.
+type Outcome uint8
+
+// Outcomes of an order. An order without an answer may be carried out seconds
+// later.
+const (
+	Unanswered Outcome = iota
+	// Begun means that the engine is at work on it.
+	Begun
+	// Done means that the state holds.
+	Done
+	// Conflict means that the order does not fit the engine's state.
+	Conflict
+)
+
+// String returns the name used in logs.
+func (o Outcome) String() string {
+	return [...]string{"unanswered", "begun", "done", "conflict"}[min(o, Conflict)]
+}
+
+// Engine is the engine of a rank.
+type Engine interface {
+	// Report returns the engine's state; only the fields that describe the
+	// engine are set.
+	Report(ctx context.Context) (peers.Report, error)
+	// Picks returns the counts of experts.
+	Picks(ctx context.Context, layers int) (Picks, error)
+	// Maps returns the rank's experts.
+	Maps(ctx context.Context) (Maps, error)
+	// Order sends an order. The error says why the outcome is Unanswered or
+	// Conflict.
+	Order(ctx context.Context, o Order) (Outcome, error)
+}
--- /dev/null
+++ b/internal/rankagent/server.go
@@ -0,0 +1,132 @@
+package rankagent
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+)
+
+// Handler serves the calls of the controller and of other agents.
+func (a *Agent) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, r *http.Request) {
+		report, err := a.Engine.Report(r.Context())
+		a.answer(w, &report, err)
+	})
+	mux.HandleFunc("POST "+pathMaps, func(w http.ResponseWriter, r *http.Request) {
+		maps, err := a.Engine.Maps(r.Context())
+		a.answer(w, &maps, err)
+	})
+	mux.HandleFunc("POST "+pathOrder, a.serveOrder)
+	mux.HandleFunc("POST "+pathPrepare, a.servePrepare)
+	mux.HandleFunc("POST "+pathSwitch, a.serveSwitch)
+	return mux
+}
+
+// answer sends a value, or an error as a failure of the engine.
+func (a *Agent) answer(w http.ResponseWriter, value any, err error) {
+	var body []byte
+	if err == nil {
+		body, err = cbor.Marshal(value)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	// An error means that the caller left; it takes its call as unanswered.
+	_, _ = w.Write(body)
+}
+
+func decodeCall[T any](w http.ResponseWriter, r *http.Request) (*T, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	var value T
+	if err == nil {
+		err = cbor.Unmarshal(body, &value)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	return &value, true
+}
+
+func result(outcome Outcome, err error) *Result {
+	r := &Result{Outcome: outcome}
+	if err != nil {
+		r.Error = err.Error()
+	}
+	return r
+}
+
+func (a *Agent) serveOrder(w http.ResponseWriter, r *http.Request) {
+	o, ok := decodeCall[Order](w, r)
+	if !ok {
+		return
+	}
+	outcome, err := a.Engine.Order(r.Context(), *o)
+	if outcome != Done && outcome != Begun {
+		a.Recorder.Record("order_failed", "", events.F("operation", o.Operation.String()), events.F("version", o.Version),
+			events.F("step", o.Step), events.F("epoch", o.Epoch), events.F("outcome", outcome.String()), events.F("error", errorText(err)))
+	}
+	a.answer(w, result(outcome, err), nil)
+}
+
+func (a *Agent) servePrepare(w http.ResponseWriter, r *http.Request) {
+	o, ok := decodeCall[Order](w, r)
+	if !ok {
+		return
+	}
+	err := PrepareMap(r.Context(), a.Engine, *o)
+	outcome := Done
+	switch {
+	case errors.Is(err, errConflict):
+		outcome = Conflict
+	case err != nil:
+		outcome = Unanswered
+	}
+	a.answer(w, result(outcome, err), nil)
+}
+
+func (a *Agent) serveSwitch(w http.ResponseWriter, r *http.Request) {
+	c, ok := decodeCall[SwitchCall](w, r)
+	if !ok {
+		return
+	}
+	if c.Lead < 0 || c.Lead >= len(c.Agents) {
+		http.Error(w, "the lead is not a rank", http.StatusBadRequest)
+		return
+	}
+	engines := make([]Engine, len(c.Agents))
+	for rank, address := range c.Agents {
+		engines[rank] = NewClient(address)
+	}
+	engines[c.Lead] = a.Engine
+	step, err := Switch(r.Context(), engines, c.Lead, c.Epoch, c.Version)
+	out := result(Done, err)
+	out.Step = step
+	a.Recorder.Record("map_switched", "", events.F("version", c.Version), events.F("epoch", c.Epoch), events.F("step", step), events.F("error", errorText(err)))
+	a.answer(w, out, nil)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+var _ Engine = (*Client)(nil)
+
+// splitPicks turns counts into messages that fit into datagrams.
+func splitPicks(group string, epoch int64, rank int, counts [][]uint32) []*peers.Picks {
+	out := make([]*peers.Picks, len(counts))
+	for layer, c := range counts {
+		out[layer] = &peers.Picks{Group: group, Epoch: epoch, Rank: rank, Layer: layer, Counts: c}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rankagent/switch.go
@@ -0,0 +1,240 @@
+package rankagent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+)
+
+const (
+	// switchLead is how many passes after the running one a switch takes place.
+	// The ranks are armed in the meantime, so that the group hardly waits.
+	switchLead = 2
+	// orderPause is the pause before an order is sent again.
+	orderPause = 15 * time.Millisecond
+	// holdTries bounds the passes for which a switch is tried.
+	holdTries = 4
+	// switchTimeout bounds a switch. A rank that does not answer by then has been
+	// lost, and its group begins a new epoch.
+	switchTimeout = 4 * time.Second
+	// prepareTimeout bounds the copying of experts.
+	prepareTimeout = 4 * time.Second
+	// preparedPoll is how often a rank is asked whether its copies are complete.
+	preparedPoll = 25 * time.Millisecond
+)
+
+// errEpoch tells that the group began a new epoch, which ends every change.
+var errEpoch = errors.New("the group began a new epoch")
+
+// Switch changes the map of a group to a version that all its ranks have
+// prepared. The rank lead holds the group before a pass until every rank is
+// armed for that pass, so that all ranks change with the same pass. engines has
+// the ranks in order.
+func Switch(ctx context.Context, engines []Engine, lead int, epoch, version int64) (step int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	defer cancel()
+	step, err = hold(ctx, engines[lead], epoch)
+	if err != nil {
+		return 0, err
+	}
+	return step, finish(ctx, engines, lead, epoch, version, step)
+}
+
+// Resolve ends a switch that was left open by its lead, which may have held the
+// group and armed any of the ranks. It reports what it found.
+func Resolve(ctx context.Context, engines []Engine) (found string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	defer cancel()
+	states, err := reports(ctx, engines)
+	if err != nil {
+		return "", err
+	}
+	lead := -1
+	var version int64
+	for rank, s := range states {
+		if s.Epoch != states[0].Epoch {
+			return "", errEpoch
+		}
+		if s.Held != 0 {
+			lead = rank
+		}
+		version = max(version, s.Armed)
+	}
+	if lead < 0 {
+		return "no rank is held", nil
+	}
+	epoch, step := states[0].Epoch, states[lead].Held
+	if version == 0 {
+		return "held and not armed", settle(ctx, engines[lead], Order{Operation: Go, Epoch: epoch, Step: step}, notHeld(step))
+	}
+	return "held and armed", finish(ctx, engines, lead, epoch, version, step)
+}
+
+// finish arms all ranks for a pass that lead holds, and lets it begin. If a rank
+// can't be armed, it disarms all others first.
+func finish(ctx context.Context, engines []Engine, lead int, epoch, version, step int64) error {
+	armed := func(s peers.Report) bool { return s.Armed == version || s.Map == version }
+	failed := all(engines, func(e Engine) error {
+		return settle(ctx, e, Order{Operation: Arm, Epoch: epoch, Version: version, Step: step}, armed)
+	})
+	if failed != nil && ctx.Err() == nil && !errors.Is(failed, errEpoch) {
+		disarmed := func(s peers.Report) bool { return s.Armed == 0 }
+		if err := all(engines, func(e Engine) error {
+			return settle(ctx, e, Order{Operation: Disarm, Epoch: epoch, Version: version}, disarmed)
+		}); err != nil {
+			return errors.Join(failed, err)
+		}
+	}
+	if ctx.Err() != nil || errors.Is(failed, errEpoch) {
+		// The group stays held: with ranks in an unknown state it must not go on.
+		return errors.Join(failed, ctx.Err())
+	}
+	return errors.Join(failed, settle(ctx, engines[lead], Order{Operation: Go, Epoch: epoch, Step: step}, notHeld(step)))
+}
+
+func notHeld(step int64) func(peers.Report) bool {
+	return func(s peers.Report) bool { return s.Held != step }
+}
+
+// hold stops the group before a pass that has not begun, and returns the pass.
+func hold(ctx context.Context, e Engine, epoch int64) (int64, error) {
+	var last error
+	for range holdTries {
+		state, err := e.Report(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if state.Epoch != epoch {
+			return 0, errEpoch
+		}
+		if state.Held != 0 {
+			return 0, fmt.Errorf("the rank is held before pass %d already", state.Held)
+		}
+		step := state.Step + switchLead
+		held := func(s peers.Report) bool { return s.Held == step }
+		last = settle(ctx, e, Order{Operation: Hold, Epoch: epoch, Step: step}, held)
+		if last == nil {
+			return step, nil
+		}
+		if errors.Is(last, errEpoch) || ctx.Err() != nil {
+			break
+		}
+	}
+	return 0, last
+}
+
+// errConflict tells that an order does not fit the engine's state.
+var errConflict = errors.New("the engine refused the order")
+
+// settle sends an order until the engine's own report shows that it holds. An
+// answer is no proof by itself, and a lost one no failure: the order may have
+// been carried out, or may be later.
+func settle(ctx context.Context, e Engine, o Order, holds func(peers.Report) bool) error {
+	for {
+		outcome, cause := e.Order(ctx, o)
+		if outcome == Begun || outcome == Done {
+			return nil
+		}
+		state, err := e.Report(ctx)
+		switch {
+		case err == nil && state.Epoch != o.Epoch:
+			return errEpoch
+		case err == nil && holds(state):
+			return nil
+		case outcome == Conflict:
+			return fmt.Errorf("%w: %s: %w", errConflict, o.Operation, cause)
+		}
+		if !pause(ctx, orderPause) {
+			return fmt.Errorf("%s: %w", o.Operation, errors.Join(cause, err, ctx.Err()))
+		}
+	}
+}
+
+// PrepareMap makes one rank copy the experts of a version, and returns when they
+// are there.
+func PrepareMap(ctx context.Context, e Engine, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	prepared := func(s peers.Report) bool { return s.Prepared == o.Version || s.Map == o.Version }
+	for {
+		outcome, cause := e.Order(ctx, o)
+		if outcome == Begun || outcome == Done {
+			break
+		}
+		// An order without an answer may have begun: its version is then used, and
+		// sending it again ends in a conflict while the copies are on their way.
+		if err := waitFor(ctx, e, o.Epoch, prepared, outcome == Conflict); err == nil {
+			return nil
+		} else if outcome == Conflict {
+			return fmt.Errorf("%w: %w: %w", errConflict, cause, err)
+		} else if ctx.Err() != nil || errors.Is(err, errEpoch) {
+			return err
+		}
+	}
+	return waitFor(ctx, e, o.Epoch, prepared, false)
+}
+
+// conflictWait is how long a rank that refused an order as repeated may take to
+// show the version as prepared.
+const conflictWait = 1500 * time.Millisecond
+
+func waitFor(ctx context.Context, e Engine, epoch int64, holds func(peers.Report) bool, brief bool) error {
+	if brief {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, conflictWait)
+		defer cancel()
+	}
+	for {
+		state, err := e.Report(ctx)
+		switch {
+		case err == nil && state.Epoch != epoch:
+			return errEpoch
+		case err == nil && holds(state):
+			return nil
+		}
+		if !pause(ctx, preparedPoll) {
+			return errors.Join(ctx.Err(), err)
+		}
+	}
+}
+
+func reports(ctx context.Context, engines []Engine) ([]peers.Report, error) {
+	out := make([]peers.Report, len(engines))
+	errs := make([]error, len(engines))
+	var calls sync.WaitGroup
+	for rank, e := range engines {
+		calls.Go(func() { out[rank], errs[rank] = e.Report(ctx) })
+	}
+	calls.Wait()
+	return out, errors.Join(errs...)
+}
+
+// all calls f for every engine at the same time.
+func all(engines []Engine, f func(Engine) error) error {
+	errs := make([]error, len(engines))
+	var calls sync.WaitGroup
+	for rank, e := range engines {
+		calls.Go(func() {
+			if err := f(e); err != nil {
+				errs[rank] = fmt.Errorf("rank %d: %w", rank, err)
+			}
+		})
+	}
+	calls.Wait()
+	return errors.Join(errs...)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
