Follow demand with expert maps

Cause: the engine lists its counts of chosen experts flat, and the agent expected them by layer, so the group kept its first map.

--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -116,7 +116,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if g := c.groups[p.Group]; g != nil && p.Epoch == g.epoch {
-		g.demand.add(p.Layer, p.Counts, time.Now())
+		g.demand.add(p.Offset, p.Counts, time.Now())
 	}
 }
 
@@ -252,7 +252,7 @@
 		go c.readMaps(ctx, g, e, g.agents(), g.epoch)
 		return
 	}
-	if len(g.demand.layers) != e.Layers || len(g.demand.layers[0]) != e.Experts || g.demand.total(0) == 0 {
+	if !g.demand.known(e.Layers, e.Experts) {
 		return
 	}
 	began := time.Now()
--- a/internal/mapcontrol/demand.go
+++ b/internal/mapcontrol/demand.go
@@ -15,33 +15,48 @@
 // yesterday's mix in the map, a shorter one follows single requests.
 const demandHalfLife = 350 * time.Millisecond
 
+// maxCounts bounds the experts of all layers, so that a wrong message can't take
+// the memory.
+const maxCounts = 1 << 17
+
 // demand is how often the experts of each layer are chosen, with old choices
 // forgotten.
 type demand struct {
-	layers [][]float64
+	// counts has one value for each expert, layer after layer.
+	counts []float64
 	at     []time.Time
 }
 
-// add takes choices of a layer's experts.
-func (d *demand) add(layer int, counts []uint32, now time.Time) {
-	for len(d.layers) <= layer {
-		d.layers = append(d.layers, nil)
-		d.at = append(d.at, now)
+// add takes choices of some experts, from the place offset on.
+func (d *demand) add(offset int, counts []uint32, now time.Time) {
+	if offset < 0 || offset+len(counts) > maxCounts {
+		return
 	}
-	if len(d.layers[layer]) != len(counts) {
-		d.layers[layer] = make([]float64, len(counts))
+	for len(d.counts) < offset+len(counts) {
+		d.counts = append(d.counts, 0)
+		d.at = append(d.at, now)
 	}
-	left := math.Exp2(-now.Sub(d.at[layer]).Seconds() / demandHalfLife.Seconds())
-	d.at[layer] = now
-	for expert, n := range counts {
-		d.layers[layer][expert] = d.layers[layer][expert]*left + float64(n)
+	for i, n := range counts {
+		k := offset + i
+		left := 1.0
+		if d.at[k] != now {
+			left = math.Exp2(-now.Sub(d.at[k]).Seconds() / demandHalfLife.Seconds())
+		}
+		d.counts[k], d.at[k] = d.counts[k]*left+float64(n), now
 	}
 }
 
-// total returns the sum of a layer.
-func (d *demand) total(layer int) float64 {
+// layer returns the demand for the experts of a layer that has so many.
+func (d *demand) layer(l, experts int) []float64 { return d.counts[l*experts : (l+1)*experts] }
+
+// known reports whether there are choices for so many experts in so many layers.
+func (d *demand) known(layers, experts int) bool {
+	return len(d.counts) == layers*experts && total(d.layer(0, experts)) > 0
+}
+
+func total(counts []float64) float64 {
 	sum := 0.0
-	for _, x := range d.layers[layer] {
+	for _, x := range counts {
 		sum += x
 	}
 	return sum
@@ -49,13 +64,14 @@
 
 // loads returns a layer's demand with a small part spread over all experts, so
 // that an expert that nobody chose just now still counts.
-func (d *demand) loads(layer int) []float64 {
+func (d *demand) loads(l, experts int) []float64 {
 	// floorShare is the part of a layer's demand that is spread evenly.
 	const floorShare = 0.02
-	total := d.total(layer)
-	out := make([]float64, len(d.layers[layer]))
-	for i, x := range d.layers[layer] {
-		out[i] = x*(1-floorShare) + total*floorShare/float64(len(out))
+	counts := d.layer(l, experts)
+	even := total(counts) * floorShare / float64(experts)
+	out := make([]float64, experts)
+	for i, x := range counts {
+		out[i] = x*(1-floorShare) + even
 	}
 	return out
 }
--- a/internal/mapcontrol/plan.go
+++ b/internal/mapcontrol/plan.go
@@ -56,7 +56,7 @@
 	for l := range present {
 		// Ranks copy at the same time, but not equally many experts.
 		rate := e.LinkBytesPerSecond * float64(len(speeds)) / 2
-		decision, err := placement.Decide(group, placement.State{Loads: d.loads(l), Speeds: speeds, Present: present[l], BytesPerSecond: rate}, policy)
+		decision, err := placement.Decide(group, placement.State{Loads: d.loads(l, e.Experts), Speeds: speeds, Present: present[l], BytesPerSecond: rate}, policy)
 		if err != nil {
 			return plan{}, err
 		}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -80,14 +80,14 @@
 	Born int64 `cbor:"16,keyasint"`
 }
 
-// Picks tells how often the requests of a rank chose the experts of a layer
-// since the agent's former message.
+// Picks tells how often the requests of a rank chose experts since the agent's
+// former message, for a part of the experts of all layers.
 type Picks struct {
-	Group  string   `cbor:"1,keyasint"`
-	Epoch  int64    `cbor:"2,keyasint"`
-	Rank   int      `cbor:"3,keyasint"`
-	Layer  int      `cbor:"4,keyasint"`
-	Counts []uint32 `cbor:"5,keyasint"`
+	Group string `cbor:"1,keyasint"`
+	Epoch int64  `cbor:"2,keyasint"`
+	// Offset is the place of the first count, layer after layer.
+	Offset int      `cbor:"3,keyasint"`
+	Counts []uint32 `cbor:"4,keyasint"`
 }
 
 // RankLoad is the load of one rank.
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -40,7 +41,7 @@
 
 	// picks is the last count of each expert, and epoch and born what it was
 	// counted in.
-	picks  [][]uint64
+	picks  []uint64
 	born   int64
 	failed bool
 }
@@ -126,21 +127,20 @@
 
 // sendPicks sends the choices of experts since the last time.
 func (a *Agent) sendPicks(ctx context.Context, controller string, r *peers.Report) {
-	const oneLayer = 1 // used only when the engine does not say how many it has
-	p, err := a.Engine.Picks(ctx, oneLayer)
+	p, err := a.Engine.Picks(ctx)
 	if err != nil {
 		a.engineLost(err)
 		return
 	}
 	since := a.since(p, r.Born)
-	for _, m := range splitPicks(r.Group, p.Epoch, r.Rank, since) {
+	for _, m := range splitPicks(r.Group, p.Epoch, since) {
 		a.Send(controller, m)
 	}
 }
 
 // since returns the growth of the counts and keeps them. The first counts of an
 // engine's start are only kept.
-func (a *Agent) since(p Picks, born int64) [][]uint32 {
+func (a *Agent) since(p Picks, born int64) []uint32 {
 	former := a.picks
 	if a.born != born || len(former) != len(p.Counts) {
 		former = nil
@@ -149,13 +149,10 @@
 	if former == nil {
 		return nil
 	}
-	out := make([][]uint32, len(p.Counts))
-	for layer, counts := range p.Counts {
-		out[layer] = make([]uint32, len(counts))
-		for expert, n := range counts {
-			if expert < len(former[layer]) && n >= former[layer][expert] {
-				out[layer][expert] = uint32(min(n-former[layer][expert], 1<<32-1))
-			}
+	out := make([]uint32, len(p.Counts))
+	for i, n := range p.Counts {
+		if n >= former[i] {
+			out[i] = uint32(min(n-former[i], math.MaxUint32))
 		}
 	}
 	return out
--- a/internal/rankagent/calls.go
+++ b/internal/rankagent/calls.go
@@ -70,7 +70,7 @@
 }
 
 // Picks is not offered: agents send picks by themselves.
-func (c *Client) Picks(context.Context, int) (Picks, error) {
+func (c *Client) Picks(context.Context) (Picks, error) {
 	return Picks{}, errors.New("agents send the picks by themselves")
 }
 
--- a/internal/rankagent/engine.go
+++ b/internal/rankagent/engine.go
@@ -11,8 +11,8 @@
 // Picks is what an engine tells about the choice of experts.
 type Picks struct {
 	Epoch int64
-	// Counts holds, by layer and expert, the choices since the engine started.
-	Counts [][]uint64
+	// Counts holds the choices since the engine started, layer after layer.
+	Counts []uint64
 }
 
 // Maps holds a rank's experts by layer.
@@ -87,7 +87,7 @@
 	// engine are set.
 	Report(ctx context.Context) (peers.Report, error)
 	// Picks returns the counts of experts.
-	Picks(ctx context.Context, layers int) (Picks, error)
+	Picks(ctx context.Context) (Picks, error)
 	// Maps returns the rank's experts.
 	Maps(ctx context.Context) (Maps, error)
 	// Order sends an order. The error says why the outcome is Unanswered or
--- a/internal/rankagent/server.go
+++ b/internal/rankagent/server.go
@@ -122,11 +122,15 @@
 
 var _ Engine = (*Client)(nil)
 
+// countsPerMessage keeps a message of picks within a datagram: a count of some
+// thousands takes 3 bytes.
+const countsPerMessage = 256
+
 // splitPicks turns counts into messages that fit into datagrams.
-func splitPicks(group string, epoch int64, rank int, counts [][]uint32) []*peers.Picks {
-	out := make([]*peers.Picks, len(counts))
-	for layer, c := range counts {
-		out[layer] = &peers.Picks{Group: group, Epoch: epoch, Rank: rank, Layer: layer, Counts: c}
+func splitPicks(group string, epoch int64, counts []uint32) []*peers.Picks {
+	var out []*peers.Picks
+	for at := 0; at < len(counts); at += countsPerMessage {
+		out = append(out, &peers.Picks{Group: group, Epoch: epoch, Offset: at, Counts: counts[at:min(at+countsPerMessage, len(counts))]})
 	}
 	return out
 }
