rankagent: prepare again while a rank is armed

Cause: a rank refuses to prepare while it is armed, which lasts until the pass of the switch begins; a plan made within 20 ms of a switch failed after 1.5 s. Ruled out: too many new experts (the same plan was taken later).

--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -155,45 +155,50 @@
 }
 
 // PrepareMap makes one rank copy the experts of a version, and returns when they
-// are there.
+// are there. A rank refuses while it is armed for an earlier version; the order
+// is then sent again.
 func PrepareMap(ctx context.Context, e Engine, o Order) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	prepared := func(s peers.Report) bool { return s.Prepared == o.Version || s.Map == o.Version }
+	unanswered := false
 	for {
 		outcome, cause := e.Order(ctx, o)
 		if outcome == Begun || outcome == Done {
 			break
 		}
-		// An order without an answer may have begun: its version is then used, and
-		// sending it again ends in a conflict while the copies are on their way.
-		if err := waitFor(ctx, e, o.Epoch, prepared, outcome == Conflict); err == nil {
+		state, err := e.Report(ctx)
+		switch {
+		case err == nil && state.Epoch != o.Epoch:
+			return errEpoch
+		case err == nil && (state.Prepared == o.Version || state.Map == o.Version):
 			return nil
-		} else if outcome == Conflict {
-			return fmt.Errorf("%w: %w: %w", errConflict, cause, err)
-		} else if ctx.Err() != nil || errors.Is(err, errEpoch) {
-			return err
+		case outcome == Conflict && err == nil && state.Armed == 0 && unanswered:
+			// An earlier order without an answer has used the version: its copies may
+			// be on their way.
+			return waitPrepared(ctx, e, o, lateCopies)
+		case outcome == Conflict && err == nil && state.Armed == 0:
+			return fmt.Errorf("%w: %w", errConflict, cause)
+		}
+		unanswered = unanswered || outcome == Unanswered
+		if !pause(ctx, orderPause) {
+			return errors.Join(ctx.Err(), cause, err)
 		}
 	}
-	return waitFor(ctx, e, o.Epoch, prepared, false)
+	return waitPrepared(ctx, e, o, prepareTimeout)
 }
 
-// conflictWait is how long a rank that refused an order as repeated may take to
-// show the version as prepared.
-const conflictWait = 1500 * time.Millisecond
+// lateCopies is how long copies may take that an unanswered order has begun.
+const lateCopies = 1500 * time.Millisecond
 
-func waitFor(ctx context.Context, e Engine, epoch int64, holds func(peers.Report) bool, brief bool) error {
-	if brief {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, conflictWait)
-		defer cancel()
-	}
+func waitPrepared(ctx context.Context, e Engine, o Order, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	for {
 		state, err := e.Report(ctx)
 		switch {
-		case err == nil && state.Epoch != epoch:
+		case err == nil && state.Epoch != o.Epoch:
 			return errEpoch
-		case err == nil && holds(state):
+		case err == nil && (state.Prepared == o.Version || state.Map == o.Version):
 			return nil
 		}
 		if !pause(ctx, preparedPoll) {
