mapcontrol: detect shifts of demand, bound the copies of a plan

Cause: demand for experts is constant for about 3.4 s and then changes at once for half of the experts or more (recorded choices: distance between windows 0.05 to 0.12, 0.19 to 0.37 at a shift). A decaying average mixed both, so plans followed a mix that no longer existed, and each blocked the next for the time of up to 6 copies a rank. Ruled out: age of the counts (150 ms) as the main part.

--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -116,7 +116,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if g := c.groups[p.Group]; g != nil && p.Epoch == g.epoch {
-		g.demand.add(p.Offset, p.Counts, time.Now())
+		g.demand.add(p.Offset, p.Counts)
 	}
 }
 
@@ -233,6 +233,9 @@
 
 // consider begins a change of the map, or ends one that was left open.
 func (c *Controller) consider(ctx context.Context, g *group, e *deployment.Engine, now time.Time) {
+	if g.demand.close(now) {
+		c.Recorder.Record("demand_shifted", "", events.F("group", g.name), events.F("noise", g.demand.noise), events.F("interval_ms", g.demand.interval.Milliseconds()))
+	}
 	if g.changing || now.Before(g.pausedTo) || e.Layers == 0 {
 		return
 	}
@@ -256,7 +259,8 @@
 		return
 	}
 	began := time.Now()
-	p, err := makePlan(e, g.maps, &g.demand, g.speeds())
+	lasts := g.demand.lasts(now)
+	p, err := choosePlan(e, g.maps, &g.demand, g.speeds(), lasts)
 	if err != nil {
 		c.Recorder.Record("plan_failed", "", events.F("group", g.name), events.F("error", err.Error()))
 		g.pausedTo = now.Add(time.Second)
@@ -268,7 +272,7 @@
 	g.highest++
 	version := g.highest
 	c.Recorder.Record("map_planned", "", events.F("group", g.name), events.F("version", version), events.F("epoch", g.epoch),
-		events.F("before", p.before), events.F("after", p.after), events.F("copies", p.copies),
+		events.F("before", p.before), events.F("after", p.after), events.F("copies", p.copies), events.F("value_ms", p.value.Milliseconds()), events.F("lasts_ms", lasts.Milliseconds()),
 		events.F("copying_ms", p.copying.Milliseconds()), events.F("took_us", time.Since(began).Microseconds()),
 		events.F("pass_ms", g.limiter.pass.Milliseconds()), events.F("limit", g.limiter.limit))
 	g.begin()
--- a/internal/mapcontrol/demand.go
+++ b/internal/mapcontrol/demand.go
@@ -10,48 +10,134 @@
 	"time"
 )
 
-// demandHalfLife is the time in which a count of choices loses half of its
-// weight. Demand moves every few seconds; a longer memory keeps the experts of
-// yesterday's mix in the map, a shorter one follows single requests.
-const demandHalfLife = 350 * time.Millisecond
-
-// maxCounts bounds the experts of all layers, so that a wrong message can't take
-// the memory.
-const maxCounts = 1 << 17
+const (
+	// demandHalfLife is the time in which a choice loses half of its weight while
+	// demand stays as it is.
+	demandHalfLife = 4 * time.Second
+	// windowPicks is the least number of choices in a window that is compared
+	// with the demand before it. The choices of a few requests say little.
+	windowPicks = 20000
+	// shiftNoise is how many times the usual distance between a window and the
+	// demand a window must be off to count as a shift of demand.
+	shiftNoise = 2.2
+	// minShift and maxShift bound the distance that counts as a shift.
+	minShift = 0.09
+	maxShift = 0.30
+	// firstNoise is the usual distance that is assumed at the start.
+	firstNoise = 0.07
+	// noiseMemory is the weight of a new distance.
+	noiseMemory = 0.1
+	// firstInterval, minInterval and maxInterval bound the estimate of the time
+	// between two shifts.
+	firstInterval = 3500 * time.Millisecond
+	minInterval   = 1500 * time.Millisecond
+	maxInterval   = 12 * time.Second
+	// maxCounts bounds the experts of all layers, so that a wrong message can't
+	// take the memory.
+	maxCounts = 1 << 17
+)
 
-// demand is how often the experts of each layer are chosen, with old choices
-// forgotten.
+// demand is how often the experts of each layer are chosen. Load pattern: what
+// is liked stays the same for seconds and then changes at once for a large part
+// of the experts. So the choices since the last change are added up, and those
+// before it are dropped.
 type demand struct {
-	// counts has one value for each expert, layer after layer.
-	counts []float64
-	at     []time.Time
+	// window has the choices since the last close, base those since the last
+	// shift, layer after layer.
+	window, base []float64
+	// noise is the usual distance between a window and base.
+	noise float64
+	// settling tells that a shift was seen in the last window, which may have
+	// choices from before it.
+	settling bool
+	// shifted is when the last shift was seen, interval the usual time between two.
+	shifted  time.Time
+	interval time.Duration
+	closed   time.Time
 }
 
 // add takes choices of some experts, from the place offset on.
-func (d *demand) add(offset int, counts []uint32, now time.Time) {
+func (d *demand) add(offset int, counts []uint32) {
 	if offset < 0 || offset+len(counts) > maxCounts {
 		return
 	}
-	for len(d.counts) < offset+len(counts) {
-		d.counts = append(d.counts, 0)
-		d.at = append(d.at, now)
+	for len(d.window) < offset+len(counts) {
+		d.window = append(d.window, 0)
 	}
 	for i, n := range counts {
-		k := offset + i
-		left := 1.0
-		if d.at[k] != now {
-			left = math.Exp2(-now.Sub(d.at[k]).Seconds() / demandHalfLife.Seconds())
-		}
-		d.counts[k], d.at[k] = d.counts[k]*left+float64(n), now
+		d.window[offset+i] += float64(n)
+	}
+}
+
+// close ends a window and reports whether demand has shifted in it.
+func (d *demand) close(now time.Time) (shift bool) {
+	if total(d.window) < windowPicks {
+		return false
+	}
+	if d.interval == 0 {
+		d.interval, d.noise = firstInterval, firstNoise
+	}
+	window := d.window
+	d.window = make([]float64, len(window))
+	elapsed := now.Sub(d.closed)
+	d.closed = now
+	if len(d.base) != len(window) || d.settling {
+		d.base, d.settling = window, false
+		return false
+	}
+	off := distance(window, d.base)
+	if off > min(max(shiftNoise*d.noise, minShift), maxShift) {
+		d.base, d.settling = window, true
+		d.noteShift(now)
+		return true
+	}
+	d.noise += noiseMemory * (off - d.noise)
+	left := math.Exp2(-elapsed.Seconds() / demandHalfLife.Seconds())
+	for i, n := range window {
+		d.base[i] = d.base[i]*left + n
+	}
+	return false
+}
+
+func (d *demand) noteShift(now time.Time) {
+	const intervalMemory = 0.3
+	if !d.shifted.IsZero() {
+		since := min(max(now.Sub(d.shifted), minInterval), maxInterval)
+		d.interval += time.Duration(intervalMemory * float64(since-d.interval))
+	}
+	d.shifted = now
+}
+
+// lasts estimates how long the demand stays as it is.
+func (d *demand) lasts(now time.Time) time.Duration {
+	// minLasts is assumed when the next shift is overdue.
+	const minLasts = 800 * time.Millisecond
+	if d.shifted.IsZero() {
+		return d.interval
+	}
+	return max(d.interval-now.Sub(d.shifted), minLasts)
+}
+
+// distance returns the part of the choices that differ between two windows, 0
+// to 1.
+func distance(a, b []float64) float64 {
+	sumA, sumB := total(a), total(b)
+	if sumA == 0 || sumB == 0 {
+		return 0
+	}
+	off := 0.0
+	for i := range a {
+		off += math.Abs(a[i]/sumA - b[i]/sumB)
 	}
+	return off / 2
 }
 
 // layer returns the demand for the experts of a layer that has so many.
-func (d *demand) layer(l, experts int) []float64 { return d.counts[l*experts : (l+1)*experts] }
+func (d *demand) layer(l, experts int) []float64 { return d.base[l*experts : (l+1)*experts] }
 
 // known reports whether there are choices for so many experts in so many layers.
 func (d *demand) known(layers, experts int) bool {
-	return len(d.counts) == layers*experts && total(d.layer(0, experts)) > 0
+	return len(d.base) == layers*experts && !d.settling && total(d.layer(0, experts)) > 0
 }
 
 func total(counts []float64) float64 {
--- a/internal/mapcontrol/plan.go
+++ b/internal/mapcontrol/plan.go
@@ -8,24 +8,29 @@
 )
 
 const (
-	// planHorizon is how long a map is expected to serve before demand moves.
-	planHorizon = 3 * time.Second
 	// copySlowdown is the part by which passes take longer while a rank copies.
 	copySlowdown = 0.15
+	// copyPrice is what a copy costs, in seconds of a pass's whole time: a copy
+	// of 2.5 GB costs as much as about 1.4 ms of the work of a whole group.
+	copyPrice = 1400 * time.Microsecond
+	// switchDelay is the time between the end of copying and the new map.
+	switchDelay = 150 * time.Millisecond
 	// planTrigger and planStop are the skews from which a layer is improved and at
 	// which the search ends.
-	planTrigger = 1.08
-	planStop    = 1.03
-	// planMinGain is the least gain in the time of a pass for which the group is
-	// switched; a switch costs copies, orders and a pause of some milliseconds.
-	planMinGain = 0.03
-	// planCopyTime bounds the copying of one plan. A map that comes later serves
-	// for a shorter time.
-	planCopyTime = 600 * time.Millisecond
+	planTrigger = 1.05
+	planStop    = 1.02
+	// planMinValue is the least value of a plan, in time saved. Below it the noise
+	// of the counts decides.
+	planMinValue = 60 * time.Millisecond
 	// planChanges bounds the search in one layer.
 	planChanges = 48
 )
 
+// planRooms are the numbers of experts that a plan may bring to one rank, over
+// all layers. A rank copies one after the other, so a small number gives a map
+// that is less even, but sooner.
+var planRooms = []int{2, 3, 5, 8}
+
 // plan is a map for a group, with what is expected of it.
 type plan struct {
 	layers []placement.Map
@@ -35,39 +40,69 @@
 	// the rank with the most takes.
 	copies  int
 	copying time.Duration
+	// value is the time that the plan saves while the demand lasts, less what
+	// copying costs.
+	value time.Duration
 }
 
 // worthwhile reports whether the group should switch to the plan.
-func (p plan) worthwhile() bool {
-	return p.copies > 0 && p.after < p.before*(1-planMinGain)
+func (p plan) worthwhile() bool { return p.copies > 0 && p.value >= planMinValue }
+
+// choosePlan returns the plan with the highest value. Load pattern: demand that
+// moves every few seconds, faster than all experts could be copied.
+func choosePlan(e *deployment.Engine, present []placement.Map, d *demand, speeds []float64, lasts time.Duration) (plan, error) {
+	var best plan
+	for i, room := range planRooms {
+		p, err := makePlan(e, present, d, speeds, room)
+		if err != nil {
+			return plan{}, err
+		}
+		p.weigh(lasts)
+		if i == 0 || p.value > best.value {
+			best = p
+		}
+	}
+	return best, nil
 }
 
-// makePlan improves the present maps of a group's layers for a demand. Load
-// pattern: demand for experts that moves every few seconds, faster than a new
-// map without regard to the present one could be copied.
-func makePlan(e *deployment.Engine, present []placement.Map, d *demand, speeds []float64) (plan, error) {
-	group := placement.Group{Ranks: len(speeds), SlotsPerRank: e.SlotsPerRank, BytesPerExpert: int64(e.ExpertBytes), NewPerRank: e.NewPerRank}
+// weigh sets the value of a plan for a demand that lasts for a time.
+func (p *plan) weigh(lasts time.Duration) {
+	gain := 1 - p.after/p.before
+	useful := max(lasts-p.copying-switchDelay, 0)
+	p.value = time.Duration(gain*float64(useful)-copySlowdown*float64(p.copying)) - time.Duration(p.copies)*copyPrice
+}
+
+// makePlan improves the present maps of a group's layers for a demand, with at
+// most room new experts on a rank.
+func makePlan(e *deployment.Engine, present []placement.Map, d *demand, speeds []float64, room int) (plan, error) {
+	group := placement.Group{Ranks: len(speeds), SlotsPerRank: e.SlotsPerRank, BytesPerExpert: int64(e.ExpertBytes)}
 	policy := placement.Policy{
-		Horizon: planHorizon, TriggerSkew: planTrigger, StopSkew: planStop, MinGain: 0.005,
-		LoadingCost: copySlowdown, MaxLoading: planCopyTime / time.Duration(max(len(present), 1)), MaxChanges: planChanges,
+		// The value of the whole plan is weighed later; a layer only takes the
+		// changes that gain something.
+		Horizon: time.Minute, TriggerSkew: planTrigger, StopSkew: planStop, MinGain: 0.005, MaxLoading: time.Minute, MaxChanges: planChanges,
 	}
 	p := plan{layers: make([]placement.Map, len(present))}
-	perRank := make([]int, len(speeds))
+	copies := make([]int, len(speeds))
+	left := make([]int, len(speeds))
 	for l := range present {
-		// Ranks copy at the same time, but not equally many experts.
-		rate := e.LinkBytesPerSecond * float64(len(speeds)) / 2
-		decision, err := placement.Decide(group, placement.State{Loads: d.loads(l, e.Experts), Speeds: speeds, Present: present[l], BytesPerSecond: rate}, policy)
+		// Each layer gets its part of the room, and what the layers before left.
+		share := (room*(l+1) + len(present) - 1) / len(present)
+		for rank := range left {
+			left[rank] = min(max(share-copies[rank], 0), e.NewPerRank)
+		}
+		state := placement.State{Loads: d.loads(l, e.Experts), Speeds: speeds, Present: present[l], Room: left, BytesPerSecond: e.LinkBytesPerSecond * float64(len(speeds))}
+		decision, err := placement.Decide(group, state, policy)
 		if err != nil {
 			return plan{}, err
 		}
 		p.layers[l] = decision.Map
 		p.before += decision.SkewBefore / float64(len(present))
 		p.after += decision.SkewAfter / float64(len(present))
-		p.copies += countCopies(present[l], decision.Map, perRank)
+		p.copies += countCopies(present[l], decision.Map, copies)
 	}
 	p.before = 1 - e.ExpertShare + e.ExpertShare*p.before
 	p.after = 1 - e.ExpertShare + e.ExpertShare*p.after
-	for _, n := range perRank {
+	for _, n := range copies {
 		p.copying = max(p.copying, time.Duration(float64(n)*e.ExpertBytes/e.LinkBytesPerSecond*float64(time.Second)))
 	}
 	return p, nil
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,9 +46,6 @@
 	SlotsPerRank int
 	// BytesPerExpert is the size of one expert's weights, in bytes.
 	BytesPerExpert int64
-	// NewPerRank is how many experts that the present map does not have at a rank
-	// one decision may give it; 0 means no limit.
-	NewPerRank int
 }
 
 // State is what is measured and in force when a decision is made.
@@ -60,6 +57,9 @@
 	Speeds []float64
 	// Present is the map in force.
 	Present Map
+	// Room is how many experts that Present does not have at a rank the decision
+	// may give it, for each rank; nil means no limit.
+	Room []int
 	// BytesPerSecond is the part of the weight store's rate that this layer of
 	// this group may use.
 	BytesPerSecond float64
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -48,6 +48,7 @@
 	// does not have there.
 	present Map
 	added   []int
+	room    []int
 
 	touched []int
 	old     []float64
@@ -63,6 +64,7 @@
 		marked:  make([]bool, g.Ranks),
 		pinned:  make([][]bool, g.Ranks),
 		present: s.Present,
+		room:    s.Room,
 		added:   make([]int, g.Ranks),
 	}
 	for rank := range x.pinned {
@@ -235,7 +237,7 @@
 
 // mayAdd reports whether a rank may get one more expert.
 func (x *search) mayAdd(expert, rank int) bool {
-	return x.group.NewPerRank == 0 || x.added[rank] < x.group.NewPerRank || slices.Contains(x.present[expert], rank)
+	return x.room == nil || x.added[rank] < x.room[rank] || slices.Contains(x.present[expert], rank)
 }
 
 // commit makes a change permanent.
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -13,7 +13,7 @@
 const (
 	// reportInterval is the time between two reports to the controller. Demand
 	// for experts moves within seconds.
-	reportInterval = 150 * time.Millisecond
+	reportInterval = 100 * time.Millisecond
 	// controllerLostAfter is the time without a word from the controller after
 	// which an agent asks for another one.
 	controllerLostAfter = 1500 * time.Millisecond
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -160,7 +160,7 @@
 func PrepareMap(ctx context.Context, e Engine, o Order) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	unanswered := false
+	unanswered, conflicts := false, 0
 	for {
 		outcome, cause := e.Order(ctx, o)
 		if outcome == Begun || outcome == Done {
@@ -177,7 +177,10 @@
 			// be on their way.
 			return waitPrepared(ctx, e, o, lateCopies)
 		case outcome == Conflict && err == nil && state.Armed == 0:
-			return fmt.Errorf("%w: %w", errConflict, cause)
+			// The rank may have been armed when it refused.
+			if conflicts++; conflicts == maxConflicts {
+				return fmt.Errorf("%w: %w", errConflict, cause)
+			}
 		}
 		unanswered = unanswered || outcome == Unanswered
 		if !pause(ctx, orderPause) {
@@ -187,6 +190,10 @@
 	return waitPrepared(ctx, e, o, prepareTimeout)
 }
 
+// maxConflicts is the number of refusals without a visible reason after which a
+// rank counts as unable to prepare a version.
+const maxConflicts = 3
+
 // lateCopies is how long copies may take that an unanswered order has begun.
 const lateCopies = 1500 * time.Millisecond
 
