--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -182,6 +182,14 @@
 	b.avoidedTill = p.now().Add(pause)
 }
 
+// Misdirected notes that another server answers at the address of b. The
+// platform's list will say so soon.
+func (p *Pool) Misdirected(b *Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.avoidedTill = p.now().Add(maxProbation)
+}
+
 // Report takes a server's load as of now.
 func (p *Pool) Report(id string, load int) {
 	p.mu.Lock()
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -314,7 +314,7 @@
 
 func (f *Feed) publish() {
 	s := &Snapshot{Configuration: f.configuration, Servers: map[string][]*deployment.Server{}}
-	for _, server := range f.servers {
+	for _, server := range newestByAddress(f.servers) {
 		s.Servers[server.Service] = append(s.Servers[server.Service], server)
 	}
 	f.snapshot.Store(s)
@@ -324,6 +324,19 @@
 	}
 }
 
+// newestByAddress drops the servers whose address has been taken over: their
+// entries stay for some seconds after their end, and every request that is sent
+// there for them is refused by the newer server.
+func newestByAddress(servers map[string]*deployment.Server) map[string]*deployment.Server {
+	newest := make(map[string]*deployment.Server, len(servers))
+	for _, s := range servers {
+		if other := newest[s.Address]; other == nil || s.Born > other.Born {
+			newest[s.Address] = s
+		}
+	}
+	return newest
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -57,6 +57,9 @@
 	switch {
 	case s.reply.NotRun:
 		s.verdict = verdict.NotRun
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			p.service.pool.Misdirected(p.backend)
+		}
 	case s.reply.ID != r.ID:
 		_ = resp.Body.Close()
 		s.resp, s.err = nil, errAnswer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,10 @@
 	// idlePerServer and idleLifetime bound the kept connections to a server.
 	idlePerServer = 32
 	idleLifetime  = 10 * time.Second
+	// slackShare is the part of the fleet's fixed number of repeated sends that
+	// gateways use; callers' own repeats count in other ways, and gateways that
+	// don't see each other take more than their part.
+	slackShare = 0.7
 	// maxAnswerBytes bounds a plain answer that is kept until it is complete, so
 	// that a broken one can be replaced. Longer ones are passed on unchecked.
 	maxAnswerBytes = 256 << 10
@@ -134,6 +138,11 @@
 	g.services.report(service, server, load)
 }
 
+// SetGateways tells how many gateways share the budget of repeated sends.
+func (g *Gateway) SetGateways(n int) {
+	g.budget.SetSlack(g.RetrySlack * slackShare / float64(max(n, 1)))
+}
+
 // SetLimit sets how many requests a rank of a model service runs at a time.
 func (g *Gateway) SetLimit(service string, perRank int) { g.services.setLimit(service, perRank) }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -207,6 +207,7 @@
 
 func (p *gatewayProcess) greetAll() {
 	to, hello := p.members.Tick()
+	p.gateway.SetGateways(len(p.members.Alive()))
 	for _, address := range to {
 		p.send(address, hello)
 	}
