mapcontrol: end open switches, full servers are not tried in turn

After a loss of power each gateway took itself for the only one and sent refused requests to four servers in a row. Change: a lead may send orders for 0.6 s by both clocks; then the controller ends the switch by calls to the engines. What remains is the freeze itself: the engine on a frozen machine takes no go.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -40,10 +40,11 @@
 	avoidedTill time.Time
 }
 
-// load estimates how many requests the server has.
-func (b *Backend) load(now time.Time) int {
+// load estimates how many requests the server has. Without a report, the
+// other gateways are taken to have sent as much as this one.
+func (b *Backend) load(now time.Time, gateways int) int {
 	if b.reportedAt.IsZero() || now.Sub(b.reportedAt) > reportLifetime {
-		return b.running
+		return b.running * gateways
 	}
 	return max(b.reported+b.sinceReport, b.running)
 }
@@ -59,11 +60,13 @@
 
 	mu       sync.Mutex
 	backends map[string]*Backend
+	// gateways is the number of processes that send requests to the servers.
+	gateways int
 }
 
 // NewPool returns an empty pool. Servers in zone are preferred among equals.
 func NewPool(zone fleet.AvailabilityZone) *Pool {
-	return &Pool{zone: zone, now: time.Now, backends: map[string]*Backend{}}
+	return &Pool{zone: zone, now: time.Now, backends: map[string]*Backend{}, gateways: 1}
 }
 
 // Update replaces the servers. What is known of a server is kept as long as it
@@ -83,6 +86,13 @@
 	p.backends = next
 }
 
+// SetGateways tells how many processes send requests to the servers.
+func (p *Pool) SetGateways(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gateways = max(n, 1)
+}
+
 // Constraint says which servers a request may go to.
 type Constraint struct {
 	// Except holds the IDs of servers that the request was sent to before.
@@ -118,7 +128,7 @@
 		if b.Server.Leaving || (healthy && !b.usable(now)) || contains(c.Except, b.Server.ID) {
 			continue
 		}
-		load := b.load(now)
+		load := b.load(now, p.gateways)
 		if c.Limit > 0 && load >= c.Limit {
 			continue
 		}
@@ -190,6 +200,14 @@
 	b.avoidedTill = p.now().Add(maxProbation)
 }
 
+// Full notes that the server refused a request because it has as many as it
+// takes.
+func (p *Pool) Full(b *Backend, slots int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b.reported, b.sinceReport, b.reportedAt = max(b.reported, 2*slots), 0, p.now()
+}
+
 // Report takes a server's load as of now.
 func (p *Pool) Report(id string, load int) {
 	p.mu.Lock()
@@ -216,7 +234,7 @@
 		t.Own += b.running
 		if b.usable(now) {
 			t.Servers++
-			t.Load += b.load(now)
+			t.Load += b.load(now, p.gateways)
 		}
 	}
 	return t
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,6 +59,8 @@
 		s.verdict = verdict.NotRun
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			p.service.pool.Misdirected(p.backend)
+		} else {
+			p.service.pool.Full(p.backend, p.backend.Server.Slots)
 		}
 	case s.reply.ID != r.ID:
 		_ = resp.Body.Close()
@@ -136,7 +138,7 @@
 const (
 	// maxSends bounds the servers that one request is sent to, those that did
 	// not run it included.
-	maxSends = 4
+	maxSends = 3
 	// minPatience is the time that must be left to start a request.
 	minPatience = 20 * time.Millisecond
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,7 +85,7 @@
 	return &Gateway{
 		Config:   c,
 		services: newServices(c.Zone, c.Recorder),
-		budget:   retry.NewWindow(c.RetryRatio, c.RetrySlack, c.RetryWindow),
+		budget:   retry.NewWindow(c.RetryRatio, 0, c.RetryWindow),
 		kept:     &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		fresh:    &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
 	}
@@ -138,9 +138,11 @@
 	g.services.report(service, server, load)
 }
 
-// SetGateways tells how many gateways share the budget of repeated sends.
+// SetGateways tells how many gateways share the backend servers and the budget
+// of repeated sends.
 func (g *Gateway) SetGateways(n int) {
 	g.budget.SetSlack(g.RetrySlack * slackShare / float64(max(n, 1)))
+	g.services.setGateways(n)
 }
 
 // SetLimit sets how many requests a rank of a model service runs at a time.
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -21,8 +21,9 @@
 	zone     fleet.AvailabilityZone
 	recorder *events.Recorder
 
-	mu     sync.Mutex
-	byName map[string]*service
+	mu       sync.Mutex
+	byName   map[string]*service
+	gateways int
 }
 
 // service is one service's pool with the requests that wait for it.
@@ -46,6 +47,7 @@
 	x := s.byName[name]
 	if x == nil {
 		x = &service{pool: balance.NewPool(s.zone), queue: admission.NewQueue[chan *place]()}
+		x.pool.SetGateways(s.gateways)
 		s.byName[name] = x
 	}
 	return x
@@ -74,6 +76,15 @@
 	}
 }
 
+func (s *services) setGateways(n int) {
+	s.mu.Lock()
+	s.gateways = n
+	s.mu.Unlock()
+	for _, x := range s.all() {
+		x.pool.SetGateways(n)
+	}
+}
+
 func (s *services) report(name, server string, load int) {
 	x := s.get(name)
 	x.pool.Report(server, load)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,7 +62,11 @@
 			s.broken(ctx, out)
 			return
 		}
-		next := x.tryPlace(balance.Constraint{Except: r.tried})
+		next, refusal := s.nextPlace(ctx, out)
+		if refusal != nil {
+			g.refuse(w, r, refusal)
+			return
+		}
 		if next == nil {
 			s.broken(ctx, out)
 			return
@@ -74,6 +78,16 @@
 	}
 }
 
+// nextPlace returns a place at another server. A request that was refused waits
+// again like a new one: when one rank of a group is full, so are the others. A
+// stream that broke off goes on at once.
+func (s *stream) nextPlace(ctx context.Context, out sent) (*place, *verdict.Error) {
+	if out.verdict == verdict.NotRun && s.r.runs == 0 {
+		return s.g.firstPlace(ctx, s.x, s.r)
+	}
+	return s.x.tryPlace(balance.Constraint{Except: s.r.tried}), nil
+}
+
 // firstPlace waits for a place, or refuses a request that could not begin in
 // time.
 func (g *Gateway) firstPlace(ctx context.Context, x *service, r *request) (*place, *verdict.Error) {
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -239,15 +239,12 @@
 	if g.changing || now.Before(g.pausedTo) || e.Layers == 0 {
 		return
 	}
-	if !g.complete(now) {
-		return
-	}
 	if c.heldTooLong(g, now) {
 		g.begin()
-		go c.resolve(ctx, g, g.engines(c.Engine))
+		go c.resolve(ctx, g)
 		return
 	}
-	if !g.sameMap() {
+	if !g.complete(now) || !g.sameMap() {
 		return
 	}
 	if g.maps == nil || g.version != g.ranks[0].Map {
@@ -315,10 +312,12 @@
 	return true
 }
 
+// heldTooLong reports whether a switch was left open: a rank is held or armed
+// for longer than a switch takes.
 func (c *Controller) heldTooLong(g *group, now time.Time) bool {
 	held := false
 	for _, r := range g.ranks {
-		held = held || r.Held != 0
+		held = held || (r.Epoch == g.epoch && now.Sub(r.at) < reportLifetime && (r.Held != 0 || r.Armed != 0))
 	}
 	switch {
 	case !held:
@@ -337,12 +336,18 @@
 	return out
 }
 
-func (g *group) engines(client func(string) rankagent.Engine) []rankagent.Engine {
-	out := make([]rankagent.Engine, g.size)
-	for i := range out {
-		out[i] = client(g.ranks[i].Engine)
+// engines returns clients of all engines of a group, and false if one of them is
+// not known.
+func (c *Controller) engines(g *group) ([]rankagent.Engine, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []rankagent.Engine
+	for i := range g.size {
+		if r := g.ranks[i]; r != nil && r.Epoch == g.epoch {
+			out = append(out, c.Engine(r.Engine))
+		}
 	}
-	return out
+	return out, len(out) == g.size && g.size > 0
 }
 
 // speeds returns the relative speed of each rank.
@@ -358,10 +363,22 @@
 }
 
 // resolve ends a switch that its lead left open.
-func (c *Controller) resolve(ctx context.Context, g *group, engines []rankagent.Engine) {
+func (c *Controller) resolve(ctx context.Context, g *group) {
+	c.settle(ctx, g)
+	c.end(g, retryPause, func() { g.maps = nil })
+}
+
+// settle ends an open switch by calls to the engines themselves, so that it
+// needs no agent.
+func (c *Controller) settle(ctx context.Context, g *group) {
+	engines, all := c.engines(g)
+	if !all {
+		c.Recorder.Record("switch_unresolved", "", events.F("group", g.name), events.F("engines", len(engines)), events.F("size", g.size))
+		return
+	}
 	found, err := rankagent.Resolve(ctx, engines)
+	c.Metrics.Counter("switches_resolved").Inc(1)
 	c.Recorder.Record("switch_resolved", "", events.F("group", g.name), events.F("found", found), events.F("error", errorText(err)))
-	c.end(g, retryPause, func() { g.maps = nil })
 }
 
 // readMaps asks the ranks which experts they have.
@@ -402,6 +419,9 @@
 	if err == nil {
 		lead := int(version) % len(agents)
 		step, err = rankagent.NewClient(agents[lead]).Switch(ctx, rankagent.SwitchCall{Epoch: epoch, Version: version, Lead: lead, Agents: agents})
+		if err != nil {
+			c.settle(ctx, g)
+		}
 	}
 	c.Recorder.Record("map_changed", "", events.F("group", g.name), events.F("version", version), events.F("epoch", epoch), events.F("step", step),
 		events.F("prepared_ms", prepared.Milliseconds()), events.F("took_ms", time.Since(began).Milliseconds()), events.F("error", errorText(err)))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -207,7 +207,7 @@
 
 func (p *gatewayProcess) greetAll() {
 	to, hello := p.members.Tick()
-	p.gateway.SetGateways(len(p.members.Alive()))
+	p.gateway.SetGateways(p.members.Count())
 	for _, address := range to {
 		p.send(address, hello)
 	}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -17,6 +17,11 @@
 	aliveFor = 1600 * time.Millisecond
 	// forgetAfter is when a lost gateway is no longer called.
 	forgetAfter = 30 * time.Second
+	// settleTime is the time after the start in which other gateways may be
+	// unknown, and gatewaysPerSeed the number of gateways that is assumed then:
+	// fleets have 3 seeds and 8 gateways or more.
+	settleTime      = 4 * time.Second
+	gatewaysPerSeed = 4
 	// knownPerHello bounds the addresses of others in a Hello.
 	knownPerHello = 10
 )
@@ -27,6 +32,7 @@
 	seeds    []string
 	recorder *events.Recorder
 	now      func() time.Time
+	started  time.Time
 
 	mu    sync.Mutex
 	peers map[string]*member // by control address
@@ -43,7 +49,7 @@
 // NewMembers returns a view that knows only the seeds. self describes this
 // gateway.
 func NewMembers(self func() Peer, seeds []string, recorder *events.Recorder) *Members {
-	return &Members{self: self, seeds: seeds, recorder: recorder, now: time.Now, peers: map[string]*member{}}
+	return &Members{self: self, seeds: seeds, recorder: recorder, now: time.Now, started: time.Now(), peers: map[string]*member{}}
 }
 
 // Heard takes a gateway's message.
@@ -129,6 +135,16 @@
 	return out
 }
 
+// Count estimates the number of gateways. Shortly after the start most of them
+// are not known yet.
+func (m *Members) Count() int {
+	n := len(m.Alive())
+	if m.now().Sub(m.started) < settleTime {
+		return max(n, gatewaysPerSeed*len(m.seeds))
+	}
+	return n
+}
+
 // Controller returns the gateway that controls the groups: the one that has run
 // longest, so that a restart does not move the control. Two gateways that don't
 // hear each other may both be controllers; the ranks' engines keep that safe.
--- a/internal/rankagent/calls.go
+++ b/internal/rankagent/calls.go
@@ -27,6 +27,8 @@
 	// maxCallBytes bounds the body of a call: a map of 58 layers with 6 experts
 	// on each of 1,100 ranks has about 1.2 MB.
 	maxCallBytes = 2 << 20
+	// callGrace is added to the lease of a switch, for the lead's last order.
+	callGrace = 200 * time.Millisecond
 	// callTimeout bounds the calls that change nothing that takes time.
 	callTimeout = 500 * time.Millisecond
 )
@@ -91,7 +93,7 @@
 // Switch has the agent lead a switch and returns the pass.
 func (c *Client) Switch(ctx context.Context, s SwitchCall) (int64, error) {
 	var r Result
-	if err := c.call(ctx, switchTimeout+callTimeout, pathSwitch, &s, &r); err != nil {
+	if err := c.call(ctx, SwitchLease+callGrace, pathSwitch, &s, &r); err != nil {
 		return 0, err
 	}
 	return r.Step, r.err()
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -18,9 +18,13 @@
 	orderPause = 15 * time.Millisecond
 	// holdTries bounds the passes for which a switch is tried.
 	holdTries = 4
-	// switchTimeout bounds a switch. A rank that does not answer by then has been
-	// lost, and its group begins a new epoch.
-	switchTimeout = 4 * time.Second
+	// SwitchLease is how long the lead of a switch may send orders. An undisturbed
+	// switch takes less than 100 ms; after this time the controller may end the
+	// switch in the lead's place.
+	SwitchLease = 600 * time.Millisecond
+	// resolveTimeout bounds the end of an open switch. A rank that does not answer
+	// by then has been lost, and its group begins a new epoch.
+	resolveTimeout = 2 * time.Second
 	// prepareTimeout bounds the copying of experts.
 	prepareTimeout = 4 * time.Second
 	// preparedPoll is how often a rank is asked whether its copies are complete.
@@ -35,7 +39,7 @@
 // armed for that pass, so that all ranks change with the same pass. engines has
 // the ranks in order.
 func Switch(ctx context.Context, engines []Engine, lead int, epoch, version int64) (step int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	ctx, cancel := withLease(ctx, SwitchLease)
 	defer cancel()
 	step, err = hold(ctx, engines[lead], epoch)
 	if err != nil {
@@ -45,9 +49,10 @@
 }
 
 // Resolve ends a switch that was left open by its lead, which may have held the
-// group and armed any of the ranks. It reports what it found.
+// group and armed any of the ranks. engines has all ranks of the group in any
+// order. It reports what it found.
 func Resolve(ctx context.Context, engines []Engine) (found string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	states, err := reports(ctx, engines)
 	if err != nil {
@@ -135,6 +140,9 @@
 // been carried out, or may be later.
 func settle(ctx context.Context, e Engine, o Order, holds func(peers.Report) bool) error {
 	for {
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("%s: %w", o.Operation, err)
+		}
 		outcome, cause := e.Order(ctx, o)
 		if outcome == Begun || outcome == Done {
 			return nil
