mapcontrol: limit requests by what the next shift makes of a pass

Cause: when demand shifts, the map in force makes passes 1.8 to 3 times as long for 0.5 s; with 9 or more requests on a rank each pass then exceeds the allowed pause, and all streams that run are late. Change: the limit keeps a pass within the pause at the usual unevenness after a shift; the measured pass lowers it to 0.75 of that at most.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -11,6 +11,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
@@ -35,9 +36,9 @@
 	Urgency int
 	// Work is the estimated work in tokens.
 	Work float64
-	// Arrived is when the request came, Latest when it is refused if it has no
-	// place yet.
-	Arrived, Latest time.Time
+	// Arrived is when the request came, OnTime until when a place lets it meet its
+	// goal, Latest when it is refused if it has no place yet.
+	Arrived, OnTime, Latest time.Time
 }
 
 // Queue holds waiting items. It is not safe for concurrent use.
@@ -68,11 +69,12 @@
 // Push adds an item.
 func (q *Queue[T]) Push(i *Item[T]) { q.items = append(q.items, i) }
 
-// Ahead returns how many items would get a place before a new one of a rank.
-func (q *Queue[T]) Ahead(urgency int) int {
+// Ahead returns how many items would get a place before a new one of a rank that
+// is on time.
+func (q *Queue[T]) Ahead(urgency int, now time.Time) int {
 	n := 0
 	for _, i := range q.items {
-		if i.Urgency <= urgency {
+		if i.Urgency <= urgency && !i.late(now) {
 			n++
 		}
 	}
@@ -81,11 +83,11 @@
 
 // Wait estimates how long a new item of a rank would wait; ok is false while
 // the rate of places is unknown.
-func (q *Queue[T]) Wait(urgency int) (wait time.Duration, ok bool) {
+func (q *Queue[T]) Wait(urgency int, now time.Time) (wait time.Duration, ok bool) {
 	if q.rate <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(q.Ahead(urgency)) / q.rate * float64(time.Second)), true
+	return time.Duration(float64(q.Ahead(urgency, now)) / q.rate * float64(time.Second)), true
 }
 
 // Remove takes an item out, for a caller that left. It returns false if the
@@ -120,20 +122,23 @@
 	return out
 }
 
-// Pop takes out the item that gets the next place, or returns nil.
+// Pop takes out the item that gets the next place, or returns nil. Items that
+// are late already come after all that can be on time: a late answer is worth a
+// small part of one in time and takes as much work.
 func (q *Queue[T]) Pop(now time.Time) *Item[T] {
 	if len(q.items) == 0 {
 		return nil
 	}
 	q.grants++
-	rank := q.mostUrgent()
+	late := q.allLate(now)
+	rank := q.mostUrgent(now, late)
 	if q.grants%floorEvery == 0 {
-		rank = q.leastServed()
+		rank = q.leastServed(now, late)
 	}
 	best := -1
 	var bestUse float64
 	for k, i := range q.items {
-		if i.Urgency != rank {
+		if i.Urgency != rank || i.late(now) != late {
 			continue
 		}
 		use := q.used(i.Account, now)
@@ -181,19 +186,38 @@
 	return decayed(u.work, now.Sub(u.at), usageHalfLife)
 }
 
-func (q *Queue[T]) mostUrgent() int {
-	best := q.items[0].Urgency
+func (i *Item[T]) late(now time.Time) bool { return now.After(i.OnTime) }
+
+// allLate reports whether no waiting item can be on time any more.
+func (q *Queue[T]) allLate(now time.Time) bool {
+	for _, i := range q.items {
+		if !i.late(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// noRank is above all ranks.
+const noRank = math.MaxInt
+
+// mostUrgent returns the most urgent rank of the items that are late, or not.
+func (q *Queue[T]) mostUrgent(now time.Time, late bool) int {
+	best := noRank
 	for _, i := range q.items {
-		best = min(best, i.Urgency)
+		if i.late(now) == late {
+			best = min(best, i.Urgency)
+		}
 	}
 	return best
 }
 
-// leastServed returns the waiting rank that got the fewest places lately.
-func (q *Queue[T]) leastServed() int {
-	best := q.items[0].Urgency
+// leastServed returns the rank that got the fewest places lately, of the items
+// that are late, or not.
+func (q *Queue[T]) leastServed(now time.Time, late bool) int {
+	best := noRank
 	for _, i := range q.items {
-		if q.byRank[i.Urgency] < q.byRank[best] {
+		if i.late(now) == late && (best == noRank || q.byRank[i.Urgency] < q.byRank[best]) {
 			best = i.Urgency
 		}
 	}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -186,5 +186,5 @@
 func (x *service) wait(urgency int) (time.Duration, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.queue.Wait(urgency)
+	return x.queue.Wait(urgency, time.Now())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,6 +16,11 @@
 	// firstEventReserve is the part of a route's goal that reading the prompt and
 	// the first pass take at a server that has a place.
 	firstEventReserve = 180 * time.Millisecond
+	// lateShare is the number of goals for which a request may wait for a place,
+	// and shortestLate the least time. Callers leave after four goals without an
+	// event, or 2 s; the rest is for the first event.
+	lateShare    = 2.5
+	shortestLate = 1200 * time.Millisecond
 	// silenceLimit is the time without an event from which a server counts as
 	// lost. Callers leave after 2 s, and a group that lost a rank hangs for 1.5 s
 	// before it breaks its work off.
@@ -91,9 +96,10 @@
 // firstPlace waits for a place, or refuses a request that could not begin in
 // time.
 func (g *Gateway) firstPlace(ctx context.Context, x *service, r *request) (*place, *verdict.Error) {
-	latest := r.deadline
+	onTime, latest := r.deadline, r.deadline
 	if goal := r.route.Goal; goal > 0 {
-		latest = r.arrived.Add(max(goal-firstEventReserve, goal/8))
+		onTime = r.arrived.Add(max(goal-firstEventReserve, goal/8))
+		latest = earliest(r.deadline, r.arrived.Add(max(time.Duration(lateShare*float64(goal)), shortestLate)))
 	}
 	wait, known := x.wait(r.urgency)
 	if known && r.arrived.Add(wait).After(latest) {
@@ -101,7 +107,7 @@
 			WithRetryAfter(g.returnTime(r, wait))
 	}
 	p := x.acquire(ctx, &item{
-		ID: r.ID, Account: r.account, Urgency: r.urgency, Work: work(r), Arrived: r.arrived, Latest: latest,
+		ID: r.ID, Account: r.account, Urgency: r.urgency, Work: work(r), Arrived: r.arrived, OnTime: onTime, Latest: latest,
 	})
 	g.Metrics.Waited.RecordDuration(time.Since(r.arrived))
 	if p == nil {
@@ -111,6 +117,13 @@
 	return p, nil
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // work estimates the work of a request in tokens. A token that is written costs
 // about ten times one that is read.
 func work(r *request) float64 {
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -19,7 +19,7 @@
 
 const (
 	// roundInterval is the time between two decisions.
-	roundInterval = 100 * time.Millisecond
+	roundInterval = 50 * time.Millisecond
 	// reportLifetime is how long a rank's report counts.
 	reportLifetime = 700 * time.Millisecond
 	// heldTooLong is how long a rank may be held before the controller ends the
@@ -77,7 +77,9 @@
 	highest int64
 	// changing tells that a change is under way; heldSince is when a rank was
 	// first seen held outside of one.
-	changing  bool
+	changing bool
+	// shifted tells that demand has shifted since the last plan.
+	shifted   bool
 	heldSince time.Time
 	pausedTo  time.Time
 }
@@ -234,6 +236,7 @@
 // consider begins a change of the map, or ends one that was left open.
 func (c *Controller) consider(ctx context.Context, g *group, e *deployment.Engine, now time.Time) {
 	if g.demand.close(now) {
+		g.shifted = true
 		c.Recorder.Record("demand_shifted", "", events.F("group", g.name), events.F("noise", g.demand.noise), events.F("interval_ms", g.demand.interval.Milliseconds()))
 	}
 	if g.changing || now.Before(g.pausedTo) || e.Layers == 0 {
@@ -263,6 +266,11 @@
 		g.pausedTo = now.Add(time.Second)
 		return
 	}
+	g.limiter.uneven = p.before
+	if g.shifted {
+		g.limiter.shifted(p.before)
+		g.shifted = false
+	}
 	if !p.worthwhile() {
 		return
 	}
@@ -434,6 +442,7 @@
 	c.end(g, 0, func() {
 		if g.epoch == epoch {
 			g.maps, g.version = p.layers, version
+			g.limiter.uneven = p.after
 			for _, r := range g.ranks {
 				// The reports at hand are older than the switch.
 				r.Map, r.Armed, r.Held = version, 0, 0
--- a/internal/mapcontrol/limit.go
+++ b/internal/mapcontrol/limit.go
@@ -14,8 +14,18 @@
 	gapShare = 0.72
 	// passMemory is the weight of a new measurement of the time of a pass.
 	passMemory = 0.4
+	// modelShare is the part of the tightest allowed pause that a pass may take by
+	// the engine's own figures, reading of prompts left out.
+	modelShare = 0.95
+	// peakMemory is the weight of the unevenness that a new shift of demand brought.
+	peakMemory = 0.3
+	// feedbackFloor is the part of the modelled number down to which the measured
+	// time of a pass may lower the limit.
+	feedbackFloor = 0.75
+	// firstPeak is the unevenness that is assumed until a shift was seen.
+	firstPeak = 2.2
 	// minLimit keeps a rank at work whatever the measurements say.
-	minLimit = 2
+	minLimit = 3
 )
 
 // limiter steers how many requests a rank runs at a time by the time of a pass.
@@ -26,6 +36,17 @@
 	at    time.Time
 	pass  time.Duration
 	limit int
+	// uneven is the time of a pass with the map in force, relative to an even
+	// group; peak is what shifts of demand usually raise it to.
+	uneven, peak float64
+}
+
+// shifted takes the unevenness that a shift of demand has brought.
+func (l *limiter) shifted(uneven float64) {
+	if l.peak == 0 {
+		l.peak = uneven
+	}
+	l.peak += peakMemory * (uneven - l.peak)
 }
 
 // measure takes the last pass that was begun.
@@ -51,13 +72,36 @@
 // decide returns the number of requests that a rank should run when each runs
 // running now on average. gap is the tightest allowed pause.
 func (l *limiter) decide(e *deployment.Engine, running float64, gap time.Duration) int {
-	if l.pass == 0 || gap == 0 || running < 1 {
+	if gap == 0 {
 		l.limit = e.Slots
 		return l.limit
 	}
-	even := e.Step.Seconds() + e.StepPerRequest.Seconds()*running
-	wanted := gapShare * gap.Seconds() / l.pass.Seconds() * even
-	n := (wanted - e.Step.Seconds()) / e.StepPerRequest.Seconds()
+	model := l.byModel(e, gap)
+	n := model
+	if l.pass > 0 && running >= 1 {
+		// A pass that was long for another reason, such as an order without an
+		// answer, must not stop the group's work.
+		n = max(min(l.byPass(e, running, gap), model), feedbackFloor*model)
+	}
 	l.limit = min(max(int(math.Round(n)), minLimit), e.Slots)
 	return l.limit
 }
+
+// byPass returns how many requests a rank can run by the measured time of a
+// pass, with which each rank runs so many now.
+func (l *limiter) byPass(e *deployment.Engine, running float64, gap time.Duration) float64 {
+	even := e.Step.Seconds() + e.StepPerRequest.Seconds()*running
+	wanted := gapShare * gap.Seconds() / l.pass.Seconds() * even
+	return (wanted - e.Step.Seconds()) / e.StepPerRequest.Seconds()
+}
+
+// byModel returns how many requests a rank can run so that passes stay within
+// the gap, also when demand shifts now: the requests that run then go on.
+func (l *limiter) byModel(e *deployment.Engine, gap time.Duration) float64 {
+	uneven := max(l.uneven, l.peak)
+	if l.peak == 0 {
+		uneven = max(l.uneven, firstPeak)
+	}
+	step := modelShare * gap.Seconds() / uneven / float64(e.StepsPerPass)
+	return (step - e.Step.Seconds()) / e.StepPerRequest.Seconds()
+}
--- a/internal/mapcontrol/plan.go
+++ b/internal/mapcontrol/plan.go
@@ -29,7 +29,7 @@
 // planRooms are the numbers of experts that a plan may bring to one rank, over
 // all layers. A rank copies one after the other, so a small number gives a map
 // that is less even, but sooner.
-var planRooms = []int{2, 3, 5, 8}
+var planRooms = []int{1, 2, 3, 5, 8}
 
 // plan is a map for a group, with what is expected of it.
 type plan struct {
@@ -85,10 +85,8 @@
 	copies := make([]int, len(speeds))
 	left := make([]int, len(speeds))
 	for l := range present {
-		// Each layer gets its part of the room, and what the layers before left.
-		share := (room*(l+1) + len(present) - 1) / len(present)
 		for rank := range left {
-			left[rank] = min(max(share-copies[rank], 0), e.NewPerRank)
+			left[rank] = min(roomIn(room, l, rank, len(present)), e.NewPerRank)
 		}
 		state := placement.State{Loads: d.loads(l, e.Experts), Speeds: speeds, Present: present[l], Room: left, BytesPerSecond: e.LinkBytesPerSecond * float64(len(speeds))}
 		decision, err := placement.Decide(group, state, policy)
@@ -108,6 +106,12 @@
 	return p, nil
 }
 
+// roomIn shares the room of a rank out to the layers. Each rank favours other
+// layers, so that all layers can use a part of the ranks when room is small.
+func roomIn(room, layer, rank, layers int) int {
+	return (room + (rank+layer)%layers) / layers
+}
+
 // countCopies adds the experts that are new to each rank.
 func countCopies(before, after placement.Map, perRank []int) int {
 	n := 0
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// reportInterval is the time between two reports to the controller. Demand
-	// for experts moves within seconds.
-	reportInterval = 100 * time.Millisecond
+	// shortestInterval is the time between two reports to the controller in a small
+	// group: demand for experts shifts at once, and until a new map is there the
+	// group is slow.
+	shortestInterval = 60 * time.Millisecond
+	// reportsPerSecond bounds the datagrams that the controller gets from all
+	// agents of a group. A datagram takes about 15 us of its processor.
+	reportsPerSecond = 2500
 	// controllerLostAfter is the time without a word from the controller after
 	// which an agent asks for another one.
 	controllerLostAfter = 1500 * time.Millisecond
@@ -51,28 +55,27 @@
 
 // Run reports to the controller until ctx is done.
 func (a *Agent) Run(ctx context.Context) {
-	tick := time.NewTicker(reportInterval)
-	defer tick.Stop()
 	for {
-		a.round(ctx)
-		select {
-		case <-ctx.Done():
+		began := time.Now()
+		messages := a.round(ctx)
+		interval := max(shortestInterval, time.Duration(messages)*time.Second/reportsPerSecond)
+		if !pause(ctx, interval-time.Since(began)) {
 			return
-		case <-tick.C:
 		}
 	}
 }
 
-// round asks for a controller, or reports to it.
-func (a *Agent) round(ctx context.Context) {
+// round asks for a controller, or reports to it. It returns how many messages
+// all agents of the group send in a round.
+func (a *Agent) round(ctx context.Context) (messages int) {
 	controller, ok := a.findController()
 	if !ok {
-		return
+		return askedPerSecond
 	}
 	report, err := a.Engine.Report(ctx)
 	if err != nil {
 		a.engineLost(err)
-		return
+		return askedPerSecond
 	}
 	if a.failed {
 		a.failed = false
@@ -80,9 +83,12 @@
 	}
 	report.Agent = a.Address
 	a.Send(controller, &report)
-	a.sendPicks(ctx, controller, &report)
+	return (1 + a.sendPicks(ctx, controller, &report)) * report.Size
 }
 
+// askedPerSecond stands for the number of messages in a round without a report.
+const askedPerSecond = reportsPerSecond / 4
+
 func (a *Agent) engineLost(err error) {
 	if !a.failed {
 		a.Recorder.Record("engine_lost", "", events.F("error", err.Error()))
@@ -125,17 +131,19 @@
 	a.controller, a.heard = controller, time.Now()
 }
 
-// sendPicks sends the choices of experts since the last time.
-func (a *Agent) sendPicks(ctx context.Context, controller string, r *peers.Report) {
+// sendPicks sends the choices of experts since the last time and returns the
+// number of messages.
+func (a *Agent) sendPicks(ctx context.Context, controller string, r *peers.Report) int {
 	p, err := a.Engine.Picks(ctx)
 	if err != nil {
 		a.engineLost(err)
-		return
+		return 0
 	}
-	since := a.since(p, r.Born)
-	for _, m := range splitPicks(r.Group, p.Epoch, since) {
+	messages := splitPicks(r.Group, p.Epoch, a.since(p, r.Born))
+	for _, m := range messages {
 		a.Send(controller, m)
 	}
+	return len(messages)
 }
 
 // since returns the growth of the counts and keeps them. The first counts of an
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// switchLead is how many passes after the running one a switch takes place.
-	// The ranks are armed in the meantime, so that the group hardly waits.
-	switchLead = 2
+	// switchLead is how many passes after the running one a switch takes place. A
+	// hold arrives within a millisecond and a pass takes 40 ms or more, so that the
+	// next pass is rarely missed.
+	switchLead = 1
 	// orderPause is the pause before an order is sent again.
 	orderPause = 15 * time.Millisecond
 	// holdTries bounds the passes for which a switch is tried.
