Keep a frozen machine from holding its group, stop sends to a stalled group

Ruled out: the group stopping for the frozen rank; without a hold its passes go on. Change: a lead asks all ranks right before it holds; the controller names silent and slow ranks and gateways avoid them; a request is not repeated while no stream of the service gets events; connections are reset on close.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -217,6 +217,15 @@
 	}
 }
 
+// Avoid keeps a server out of use for a time.
+func (p *Pool) Avoid(id string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.backends[id]; b != nil {
+		b.avoidedTill = p.now().Add(d)
+	}
+}
+
 // Totals describes a pool.
 type Totals struct {
 	// Servers is the number of servers that take work, Load the estimate of all
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,9 +92,8 @@
 }
 
 func newTransport(once bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      once,
 		MaxIdleConnsPerHost:    idlePerServer,
@@ -104,6 +103,22 @@
 	}
 }
 
+// dial opens a connection that is reset when it is closed. A request that was
+// given up must not be run when a machine that stood still reads it later.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Join(err, conn.Close())
+		}
+	}
+	return conn, nil
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Run follows the feed until ctx is done.
@@ -133,9 +148,18 @@
 // Wait returns when no request is being handled.
 func (g *Gateway) Wait() { g.active.Wait() }
 
+// avoidFor is how long a server is out of use that the controller wants avoided.
+// The controller repeats that many times in this time.
+const avoidFor = 700 * time.Millisecond
+
 // Load takes a backend server's load as reported by its agent.
-func (g *Gateway) Load(service, server string, load int) {
-	g.services.report(service, server, load)
+func (g *Gateway) Load(service, server string, load int, avoid bool) {
+	pool := g.services.get(service).pool
+	if avoid {
+		pool.Avoid(server, avoidFor)
+		return
+	}
+	pool.Report(server, load)
 }
 
 // SetGateways tells how many gateways share the backend servers and the budget
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/admission"
@@ -35,8 +36,41 @@
 	// limit is the number of requests that a server runs at a time; 0 means that
 	// requests never wait here.
 	limit int
+	// streams is the number of streams that run at the servers, and lastEvent
+	// when one of them got an event or the first of them began.
+	streams   atomic.Int64
+	lastEvent atomic.Int64
+}
+
+const (
+	// stalledAfter is the time without an event of any stream after which a group
+	// counts as stalled. A pass takes less than 0.2 s.
+	stalledAfter = 700 * time.Millisecond
+	// probeStreams is the number of streams without an event from which on no
+	// other is sent to a group that seems to be stalled.
+	probeStreams = 3
+)
+
+// stalled reports whether no stream gets events, at any server. All ranks of a
+// group pass together, so a request sent now would wait like the others.
+func (x *service) stalled() bool {
+	return x.streams.Load() >= probeStreams && time.Since(processStart).Nanoseconds()-x.lastEvent.Load() > stalledAfter.Nanoseconds()
+}
+
+// processStart makes steady-clock readings out of durations.
+var processStart = time.Now()
+
+// streamBegan and streamEnded count streams; gotEvent notes an event.
+func (x *service) streamBegan() {
+	if x.streams.Add(1) == 1 {
+		x.gotEvent()
+	}
 }
 
+func (x *service) streamEnded() { x.streams.Add(-1) }
+
+func (x *service) gotEvent() { x.lastEvent.Store(time.Since(processStart).Nanoseconds()) }
+
 func newServices(zone fleet.AvailabilityZone, recorder *events.Recorder) *services {
 	return &services{zone: zone, recorder: recorder, byName: map[string]*service{}}
 }
@@ -85,11 +119,6 @@
 	}
 }
 
-func (s *services) report(name, server string, load int) {
-	x := s.get(name)
-	x.pool.Report(server, load)
-}
-
 func (s *services) setLimit(name string, perRank int) {
 	x := s.get(name)
 	x.mu.Lock()
@@ -173,7 +202,7 @@
 	for _, late := range x.queue.Expired(now) {
 		late.Value <- nil
 	}
-	for x.queue.Len() > 0 {
+	for x.queue.Len() > 0 && !x.stalled() {
 		p := x.tryPlace(balance.Constraint{Limit: x.limit})
 		if p == nil {
 			return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -63,7 +63,7 @@
 			s.ended()
 			return
 		}
-		if ctx.Err() != nil || !g.mayRepeat(r, out) {
+		if ctx.Err() != nil || x.stalled() || !g.mayRepeat(r, out) {
 			s.broken(ctx, out)
 			return
 		}
@@ -138,6 +138,8 @@
 // error if the answer is complete.
 func (s *stream) run(ctx context.Context, p *place) sent {
 	defer p.release()
+	s.x.streamBegan()
+	defer s.x.streamEnded()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
@@ -203,6 +205,7 @@
 			out.err = err
 			return out
 		}
+		s.x.gotEvent()
 		s.passed(id)
 	}
 }
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -26,6 +26,12 @@
 	// switch that holds it. An undisturbed switch takes a few milliseconds beyond
 	// the pass it waits for.
 	heldTooLong = 600 * time.Millisecond
+	// silentAfter is the time without a report after which a rank gets no new
+	// requests. Agents report every 60 ms in small groups and every 250 ms in large
+	// ones.
+	silentAfter = 500 * time.Millisecond
+	// slowPace is the pace above which a rank gets no new requests.
+	slowPace = 1.3
 	// retryPause is the pause after a failed change.
 	retryPause = 300 * time.Millisecond
 	// ranksPerMessage bounds the ranks in one datagram.
@@ -201,13 +207,12 @@
 	var loads []peers.RankLoad
 	var step int64
 	for _, r := range g.ranks {
-		if now.Sub(r.at) > reportLifetime {
-			continue
+		if now.Sub(r.at) <= reportLifetime {
+			fresh++
+			running += r.Running
+			step = max(step, r.Step)
 		}
-		fresh++
-		running += r.Running
-		step = max(step, r.Step)
-		loads = append(loads, peers.RankLoad{Engine: r.Engine, Load: r.Running + r.Queued})
+		loads = append(loads, peers.RankLoad{Engine: r.Engine, Load: r.Running + r.Queued, Avoid: g.avoid(r, now)})
 	}
 	if fresh == 0 {
 		return
@@ -233,6 +238,25 @@
 	}
 }
 
+// avoid reports whether a rank should get no new requests: it is slow, which
+// makes all ranks wait for its own part of a pass, or its machine is silent while
+// others are heard.
+func (g *group) avoid(r *rank, now time.Time) bool {
+	if r.Pace > slowPace {
+		return true
+	}
+	silent := now.Sub(r.at)
+	if silent < silentAfter {
+		return false
+	}
+	for _, other := range g.ranks {
+		if now.Sub(other.at) < silentAfter/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // consider begins a change of the map, or ends one that was left open.
 func (c *Controller) consider(ctx context.Context, g *group, e *deployment.Engine, now time.Time) {
 	if g.demand.close(now) {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -255,15 +255,15 @@
 // applyGroup takes what the controller says about a group.
 func (p *gatewayProcess) applyGroup(m *peers.Group) {
 	snapshot := p.feed.Snapshot()
-	byAddress := map[string]int{}
+	byAddress := map[string]peers.RankLoad{}
 	for _, r := range m.Ranks {
-		byAddress[r.Engine] = r.Load
+		byAddress[r.Engine] = r
 	}
 	for service, servers := range snapshot.Servers {
 		found := false
 		for _, s := range servers {
-			if load, ok := byAddress[s.Address]; ok {
-				p.gateway.Load(service, s.ID, load)
+			if r, ok := byAddress[s.Address]; ok {
+				p.gateway.Load(service, s.ID, r.Load, r.Avoid)
 				found = true
 			}
 		}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -94,6 +94,8 @@
 type RankLoad struct {
 	Engine string `cbor:"1,keyasint"`
 	Load   int    `cbor:"2,keyasint"`
+	// Avoid tells that the rank is slow or silent.
+	Avoid bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Group is what the controller tells gateways and agents about a group.
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -23,6 +23,8 @@
 	// switch takes less than 100 ms; after this time the controller may end the
 	// switch in the lead's place.
 	SwitchLease = 600 * time.Millisecond
+	// answerWithin is the time in which every rank has to answer before a switch.
+	answerWithin = 120 * time.Millisecond
 	// resolveTimeout bounds the end of an open switch. A rank that does not answer
 	// by then has been lost, and its group begins a new epoch.
 	resolveTimeout = 2 * time.Second
@@ -42,6 +44,9 @@
 func Switch(ctx context.Context, engines []Engine, lead int, epoch, version int64) (step int64, err error) {
 	ctx, cancel := withLease(ctx, SwitchLease)
 	defer cancel()
+	if err := allPrepared(ctx, engines, epoch, version); err != nil {
+		return 0, err
+	}
 	step, err = hold(ctx, engines[lead], epoch)
 	if err != nil {
 		return 0, err
@@ -49,6 +54,27 @@
 	return step, finish(ctx, engines, lead, epoch, version, step)
 }
 
+// allPrepared returns an error unless every rank answers now and is ready for the
+// switch. A group that is held while a rank does not answer stays held until it
+// does, so that is found out before.
+func allPrepared(ctx context.Context, engines []Engine, epoch, version int64) error {
+	ctx, cancel := context.WithTimeout(ctx, answerWithin)
+	defer cancel()
+	states, err := reports(ctx, engines)
+	if err != nil {
+		return err
+	}
+	for rank, s := range states {
+		if s.Epoch != epoch {
+			return errEpoch
+		}
+		if s.Prepared != version {
+			return fmt.Errorf("rank %d has version %d prepared", rank, s.Prepared)
+		}
+	}
+	return nil
+}
+
 // Resolve ends a switch that was left open by its lead, which may have held the
 // group and armed any of the ranks. engines has all ranks of the group in any
 // order. It reports what it found.
