mapcontrol: windows of whole rounds, compact messages, plans for many ranks

Cause: on the grown site (72 ranks, 12 layers of 144 experts) a round of picks took 576 datagrams, so that a window of 50 ms held a quarter of the ranks; their few requests differ from the demand, and every other window counted as a shift. Copies take 16 ms there, and the plans had room for 8 a rank only.

--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -34,8 +35,11 @@
 	slowPace = 1.3
 	// retryPause is the pause after a failed change.
 	retryPause = 300 * time.Millisecond
-	// ranksPerMessage bounds the ranks in one datagram.
-	ranksPerMessage = 30
+	// agentInterval is the time between two messages to agents. They look for
+	// another controller after 1.5 s.
+	agentInterval = 400 * time.Millisecond
+	// tellInterval is the time between two messages about a group.
+	tellInterval = 100 * time.Millisecond
 )
 
 // Config is what a Controller works with.
@@ -88,6 +92,9 @@
 	shifted   bool
 	heldSince time.Time
 	pausedTo  time.Time
+	told      time.Time
+	// toldAgents is when the agents got the last message.
+	toldAgents time.Time
 }
 
 type rank struct {
@@ -124,7 +131,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if g := c.groups[p.Group]; g != nil && p.Epoch == g.epoch {
-		g.demand.add(p.Offset, p.Counts)
+		g.demand.add(p)
 	}
 }
 
@@ -203,6 +210,10 @@
 
 // tell sends gateways and agents the state of a group and the limit.
 func (c *Controller) tell(g *group, e *deployment.Engine, now time.Time) {
+	if now.Sub(g.told) < tellInterval {
+		return
+	}
+	g.told = now
 	running, fresh := 0, 0
 	var loads []peers.RankLoad
 	var step int64
@@ -212,7 +223,9 @@
 			running += r.Running
 			step = max(step, r.Step)
 		}
-		loads = append(loads, peers.RankLoad{Engine: r.Engine, Load: r.Running + r.Queued, Avoid: g.avoid(r, now)})
+		// An address that can't be read stays the zero value, which is left out.
+		engine, _ := netip.ParseAddrPort(r.Engine)
+		loads = append(loads, peers.RankLoad{Engine: engine, Load: r.Running + r.Queued, Avoid: g.avoid(r, now)})
 	}
 	if fresh == 0 {
 		return
@@ -224,14 +237,19 @@
 	passMS := float64(g.limiter.pass) / float64(time.Millisecond)
 	gateways := c.Gateways()
 	for len(loads) > 0 {
-		n := min(len(loads), ranksPerMessage)
-		m := &peers.Group{Controller: c.Self, Group: g.name, Limit: limit, Ranks: loads[:n], PassMS: passMS}
+		n := min(len(loads), peers.RanksPerMessage)
+		m := &peers.Group{Controller: c.Self, Group: g.name, Limit: limit, PassMS: passMS}
+		m.Pack(loads[:n])
 		c.Apply(m)
 		for _, address := range gateways {
 			c.Send(address, m)
 		}
 		loads = loads[n:]
 	}
+	if now.Sub(g.toldAgents) < agentInterval {
+		return
+	}
+	g.toldAgents = now
 	brief := &peers.Group{Controller: c.Self, Group: g.name, Limit: limit, PassMS: passMS}
 	for _, r := range g.ranks {
 		c.Send(r.Agent, brief)
@@ -259,7 +277,7 @@
 
 // consider begins a change of the map, or ends one that was left open.
 func (c *Controller) consider(ctx context.Context, g *group, e *deployment.Engine, now time.Time) {
-	if g.demand.close(now) {
+	if g.demand.close(g.size, now) {
 		g.shifted = true
 		c.Recorder.Record("demand_shifted", "", events.F("group", g.name), events.F("noise", g.demand.noise), events.F("interval_ms", g.demand.interval.Milliseconds()))
 	}
--- a/internal/mapcontrol/demand.go
+++ b/internal/mapcontrol/demand.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// windowPicks is the least number of choices in a window that is compared
 	// with the demand before it. The choices of a few requests say little.
 	windowPicks = 20000
+	// windowRanks is the part of the ranks whose choices a window has.
+	windowRanks = 0.9
 	// shiftNoise is how many times the usual distance between a window and the
 	// demand a window must be off to count as a shift of demand.
 	shiftNoise = 2.2
@@ -45,6 +49,8 @@
 	// window has the choices since the last close, base those since the last
 	// shift, layer after layer.
 	window, base []float64
+	// heard has the ranks whose choices are in the window.
+	heard map[int]bool
 	// noise is the usual distance between a window and base.
 	noise float64
 	// settling tells that a shift was seen in the last window, which may have
@@ -57,23 +63,33 @@
 }
 
 // add takes choices of some experts, from the place offset on.
-func (d *demand) add(offset int, counts []uint32) {
+func (d *demand) add(p *peers.Picks) {
+	offset, counts := p.Offset, p.Counts
 	if offset < 0 || offset+len(counts) > maxCounts {
 		return
 	}
+	if d.heard == nil {
+		d.heard = map[int]bool{}
+	}
+	if p.Last {
+		d.heard[p.Rank] = true
+	}
 	for len(d.window) < offset+len(counts) {
 		d.window = append(d.window, 0)
 	}
 	for i, n := range counts {
-		d.window[offset+i] += float64(n)
+		d.window[offset+i] += float64(n) * float64(p.Scale)
 	}
 }
 
-// close ends a window and reports whether demand has shifted in it.
-func (d *demand) close(now time.Time) (shift bool) {
-	if total(d.window) < windowPicks {
+// close ends a window that has the choices of nearly all ranks, and reports
+// whether demand has shifted in it. The choices of some ranks only, those of a
+// few requests, differ from the demand at all times.
+func (d *demand) close(ranks int, now time.Time) (shift bool) {
+	if float64(len(d.heard)) < windowRanks*float64(ranks) || total(d.window) < windowPicks {
 		return false
 	}
+	clear(d.heard)
 	if d.interval == 0 {
 		d.interval, d.noise = firstInterval, firstNoise
 	}
--- a/internal/mapcontrol/plan.go
+++ b/internal/mapcontrol/plan.go
@@ -10,9 +10,9 @@
 const (
 	// copySlowdown is the part by which passes take longer while a rank copies.
 	copySlowdown = 0.15
-	// copyPrice is what a copy costs, in seconds of a pass's whole time: a copy
-	// of 2.5 GB costs as much as about 1.4 ms of the work of a whole group.
-	copyPrice = 1400 * time.Microsecond
+	// bytePrice is what a copied byte costs, in seconds of the work of the whole
+	// group: 1 GB costs as much as about 0.5 ms.
+	bytePrice = 0.5e-3 / 1e9
 	// switchDelay is the time between the end of copying and the new map.
 	switchDelay = 150 * time.Millisecond
 	// planTrigger and planStop are the skews from which a layer is improved and at
@@ -29,7 +29,7 @@
 // planRooms are the numbers of experts that a plan may bring to one rank, over
 // all layers. A rank copies one after the other, so a small number gives a map
 // that is less even, but sooner.
-var planRooms = []int{1, 2, 3, 5, 8}
+var planRooms = []int{1, 2, 3, 5, 8, 14, 24}
 
 // plan is a map for a group, with what is expected of it.
 type plan struct {
@@ -39,6 +39,7 @@
 	// copies is the number of experts that ranks copy, and copying the time that
 	// the rank with the most takes.
 	copies  int
+	bytes   float64
 	copying time.Duration
 	// value is the time that the plan saves while the demand lasts, less what
 	// copying costs.
@@ -58,9 +59,10 @@
 			return plan{}, err
 		}
 		p.weigh(lasts)
-		if i == 0 || p.value > best.value {
-			best = p
+		if i > 0 && p.value <= best.value {
+			break
 		}
+		best = p
 	}
 	return best, nil
 }
@@ -69,7 +71,7 @@
 func (p *plan) weigh(lasts time.Duration) {
 	gain := 1 - p.after/p.before
 	useful := max(lasts-p.copying-switchDelay, 0)
-	p.value = time.Duration(gain*float64(useful)-copySlowdown*float64(p.copying)) - time.Duration(p.copies)*copyPrice
+	p.value = time.Duration(gain*float64(useful)-copySlowdown*float64(p.copying)) - time.Duration(p.bytes*bytePrice*float64(time.Second))
 }
 
 // makePlan improves the present maps of a group's layers for a demand, with at
@@ -79,7 +81,7 @@
 	policy := placement.Policy{
 		// The value of the whole plan is weighed later; a layer only takes the
 		// changes that gain something.
-		Horizon: time.Minute, TriggerSkew: planTrigger, StopSkew: planStop, MinGain: 0.005, MaxLoading: time.Minute, MaxChanges: planChanges,
+		Horizon: time.Minute, TriggerSkew: planTrigger, StopSkew: planStop, MinGain: 0.005, MaxLoading: time.Minute, MaxChanges: planChanges + len(speeds),
 	}
 	p := plan{layers: make([]placement.Map, len(present))}
 	copies := make([]int, len(speeds))
@@ -100,6 +102,7 @@
 	}
 	p.before = 1 - e.ExpertShare + e.ExpertShare*p.before
 	p.after = 1 - e.ExpertShare + e.ExpertShare*p.after
+	p.bytes = float64(p.copies) * e.ExpertBytes
 	for _, n := range copies {
 		p.copying = max(p.copying, time.Duration(float64(n)*e.ExpertBytes/e.LinkBytesPerSecond*float64(time.Second)))
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -120,6 +120,7 @@
 	return peers.Peer{
 		Name: p.config.Name, Start: p.start, Control: p.config.Listen.Control, Callers: p.config.Listen.Callers,
 		Zone: fleet.AvailabilityZone(p.config.Zone), Serving: p.gateway.Ready(),
+		Processor: p.config.Limits.Processor,
 	}
 }
 
@@ -256,8 +257,8 @@
 func (p *gatewayProcess) applyGroup(m *peers.Group) {
 	snapshot := p.feed.Snapshot()
 	byAddress := map[string]peers.RankLoad{}
-	for _, r := range m.Ranks {
-		byAddress[r.Engine] = r
+	for _, r := range m.Unpack() {
+		byAddress[r.Engine.String()] = r
 	}
 	for service, servers := range snapshot.Servers {
 		found := false
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -145,15 +145,17 @@
 	return n
 }
 
-// Controller returns the gateway that controls the groups: the one that has run
-// longest, so that a restart does not move the control. Two gateways that don't
-// hear each other may both be controllers; the ranks' engines keep that safe.
+// Controller returns the gateway that controls the groups: of those with the
+// largest processor the one that has run longest, so that a restart does not move
+// the control. Two gateways that don't hear each other may both be controllers;
+// the protocol of a switch keeps that safe.
 func (m *Members) Controller() Peer {
 	alive := m.Alive()
+	best := alive[0]
 	for _, p := range alive {
-		if p.Serving {
-			return p
+		if (p.Serving && !best.Serving) || (p.Serving == best.Serving && p.Processor > best.Processor) {
+			best = p
 		}
 	}
-	return alive[0]
+	return best
 }
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -1,6 +1,9 @@
 package peers
 
 import (
+	"encoding/binary"
+	"net/netip"
+
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 )
 
@@ -27,6 +30,8 @@
 	Zone    fleet.AvailabilityZone `cbor:"5,keyasint"`
 	// Serving tells that the gateway takes callers' requests.
 	Serving bool `cbor:"6,keyasint"`
+	// Processor is the part of a processor core that the gateway may use.
+	Processor float64 `cbor:"7,keyasint"`
 }
 
 // Hello is what gateways tell each other regularly.
@@ -85,17 +90,14 @@
 type Picks struct {
 	Group string `cbor:"1,keyasint"`
 	Epoch int64  `cbor:"2,keyasint"`
+	Rank  int    `cbor:"3,keyasint"`
 	// Offset is the place of the first count, layer after layer.
-	Offset int      `cbor:"3,keyasint"`
-	Counts []uint32 `cbor:"4,keyasint"`
-}
-
-// RankLoad is the load of one rank.
-type RankLoad struct {
-	Engine string `cbor:"1,keyasint"`
-	Load   int    `cbor:"2,keyasint"`
-	// Avoid tells that the rank is slow or silent.
-	Avoid bool `cbor:"3,keyasint,omitempty"`
+	Offset int `cbor:"4,keyasint"`
+	// Counts has a byte for each expert, in units of Scale choices.
+	Scale  uint32 `cbor:"5,keyasint"`
+	Counts []byte `cbor:"6,keyasint"`
+	// Last marks the last message of a round.
+	Last bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Group is what the controller tells gateways and agents about a group.
@@ -103,12 +105,65 @@
 	Controller string `cbor:"1,keyasint"`
 	Group      string `cbor:"2,keyasint"`
 	// Limit is the number of requests that a rank runs at a time.
-	Limit int        `cbor:"3,keyasint"`
-	Ranks []RankLoad `cbor:"4,keyasint,omitempty"`
+	Limit int `cbor:"3,keyasint"`
+	// Ranks is filled by Pack; it is empty in messages to agents.
+	Ranks []byte `cbor:"4,keyasint,omitempty"`
 	// PassMS is the measured time of a pass in milliseconds.
 	PassMS float64 `cbor:"5,keyasint"`
 }
 
+// RankLoad is the load of one rank.
+type RankLoad struct {
+	// Engine is the address of the rank's engine.
+	Engine netip.AddrPort
+	// Load is the number of requests that run or wait.
+	Load int
+	// Avoid tells that the rank is slow or silent.
+	Avoid bool
+}
+
+const (
+	// rankBytes is the size of one rank in Group.Ranks: 4 bytes of IPv4 address, 2
+	// of port and one with the load.
+	rankBytes = 7
+	// avoidBit marks ranks to be avoided, in the byte with the load.
+	avoidBit = 0x80
+	// RanksPerMessage is the number of ranks that fit into a message.
+	RanksPerMessage = 170
+)
+
+// Pack sets the ranks of a message. Engines without an IPv4 address are left
+// out.
+func (g *Group) Pack(ranks []RankLoad) {
+	g.Ranks = make([]byte, 0, rankBytes*len(ranks))
+	for _, r := range ranks {
+		if !r.Engine.Addr().Is4() {
+			continue
+		}
+		address := r.Engine.Addr().As4()
+		load := byte(min(r.Load, avoidBit-1))
+		if r.Avoid {
+			load |= avoidBit
+		}
+		g.Ranks = append(g.Ranks, address[:]...)
+		g.Ranks = binary.BigEndian.AppendUint16(g.Ranks, r.Engine.Port())
+		g.Ranks = append(g.Ranks, load)
+	}
+}
+
+// Unpack returns the ranks of a message.
+func (g *Group) Unpack() []RankLoad {
+	var out []RankLoad
+	for b := g.Ranks; len(b) >= rankBytes; b = b[rankBytes:] {
+		out = append(out, RankLoad{
+			Engine: netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:6])),
+			Load:   int(b[6] &^ avoidBit),
+			Avoid:  b[6]&avoidBit != 0,
+		})
+	}
+	return out
+}
+
 func (*Hello) kind() byte   { return kindHello }
 func (*Ask) kind() byte     { return kindAsk }
 func (*Welcome) kind() byte { return kindWelcome }
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -45,8 +44,10 @@
 
 	// picks is the last count of each expert, and epoch and born what it was
 	// counted in.
-	picks  []uint64
-	born   int64
+	picks []uint64
+	born  int64
+	// unsent is what the units of the messages so far have left out.
+	unsent []uint64
 	failed bool
 }
 
@@ -139,29 +140,25 @@
 		a.engineLost(err)
 		return 0
 	}
-	messages := splitPicks(r.Group, p.Epoch, a.since(p, r.Born))
+	messages := splitPicks(peers.Picks{Group: r.Group, Epoch: p.Epoch, Rank: r.Rank}, a.since(p, r.Born))
 	for _, m := range messages {
 		a.Send(controller, m)
 	}
 	return len(messages)
 }
 
-// since returns the growth of the counts and keeps them. The first counts of an
-// engine's start are only kept.
-func (a *Agent) since(p Picks, born int64) []uint32 {
-	former := a.picks
-	if a.born != born || len(former) != len(p.Counts) {
-		former = nil
-	}
-	a.picks, a.born = p.Counts, born
-	if former == nil {
+// since adds the growth of the counts to what is unsent and returns that. The
+// first counts of an engine's start are only kept.
+func (a *Agent) since(p Picks, born int64) []uint64 {
+	if a.born != born || len(a.picks) != len(p.Counts) {
+		a.picks, a.born, a.unsent = p.Counts, born, make([]uint64, len(p.Counts))
 		return nil
 	}
-	out := make([]uint32, len(p.Counts))
 	for i, n := range p.Counts {
-		if n >= former[i] {
-			out[i] = uint32(min(n-former[i], math.MaxUint32))
+		if n >= a.picks[i] {
+			a.unsent[i] += n - a.picks[i]
 		}
 	}
-	return out
+	a.picks = p.Counts
+	return a.unsent
 }
--- a/internal/rankagent/server.go
+++ b/internal/rankagent/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -122,15 +123,26 @@
 
 var _ Engine = (*Client)(nil)
 
-// countsPerMessage keeps a message of picks within a datagram: a count of some
-// thousands takes 3 bytes.
-const countsPerMessage = 256
+// countsPerMessage keeps a message of picks within a datagram.
+const countsPerMessage = 1200
 
-// splitPicks turns counts into messages that fit into datagrams.
-func splitPicks(group string, epoch int64, counts []uint32) []*peers.Picks {
+// splitPicks takes the counts that fit into messages of one byte a count out of
+// unsent. What is less than a unit stays for the next messages.
+func splitPicks(head peers.Picks, unsent []uint64) []*peers.Picks {
+	const mostUnits = 255
+	scale := max((slices.Max(append([]uint64{1}, unsent...))+mostUnits-1)/mostUnits, 1)
 	var out []*peers.Picks
-	for at := 0; at < len(counts); at += countsPerMessage {
-		out = append(out, &peers.Picks{Group: group, Epoch: epoch, Offset: at, Counts: counts[at:min(at+countsPerMessage, len(counts))]})
+	for at := 0; at < len(unsent); at += countsPerMessage {
+		m := head
+		m.Offset, m.Scale = at, uint32(scale)
+		part := unsent[at:min(at+countsPerMessage, len(unsent))]
+		m.Counts = make([]byte, len(part))
+		for i, n := range part {
+			m.Counts[i] = byte(n / scale)
+			part[i] = n % scale
+		}
+		m.Last = at+countsPerMessage >= len(unsent)
+		out = append(out, &m)
 	}
 	return out
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -49,6 +49,9 @@
 	// MemoryMB is the memory after which the process is killed. Unit: megabytes.
 	// Range 32 to 1048576.
 	MemoryMB int `toml:"memory_mb"`
+	// Processor is the part of a processor core that the process may use. Range
+	// 0.01 to 1024.
+	Processor float64 `toml:"processor"`
 	// Descriptors is the number of open descriptors. Range 256 to 1048576.
 	Descriptors int `toml:"descriptors"`
 }
@@ -153,6 +156,7 @@
 		checkAddress(f, "store.address", c.Store.Address)
 	}
 	tomlfile.InRange(f, "limits.memory_mb", c.Limits.MemoryMB, 32, 1<<20)
+	tomlfile.InRange(f, "limits.processor", c.Limits.Processor, 0.01, 1024)
 	tomlfile.InRange(f, "limits.descriptors", c.Limits.Descriptors, 256, 1<<20)
 	tomlfile.InRange(f, "bounds.drain_ms", c.Bounds.DrainMS, 1, 600000)
 	tomlfile.InRange(f, "bounds.stop_s", c.Bounds.StopS, 1, 600)
