--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -17,11 +17,8 @@
 		Example: "  coltsfootbay gateway --settings /etc/coltsfootbay/node.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.LoadNode(file, settings.NodeGateway)
-			if err != nil {
-				return err
-			}
-			return node.RunGateway(cmd.Context(), s, platform.Adapter(s), cmd.OutOrStdout())
+			load := func() (settings.NodeConfig, error) { return settings.LoadNode(file, settings.NodeGateway) }
+			return node.RunGateway(cmd.Context(), load, platform.Adapter, cmd.OutOrStdout())
 		},
 	}
 	addNodeSettingsFlag(c, &file)
@@ -37,11 +34,8 @@
 		Example: "  coltsfootbay rank-agent --settings /etc/coltsfootbay/node.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := settings.LoadNode(file, settings.NodeRankAgent)
-			if err != nil {
-				return err
-			}
-			return node.RunRankAgent(cmd.Context(), s, platform.Adapter(s), cmd.OutOrStdout())
+			load := func() (settings.NodeConfig, error) { return settings.LoadNode(file, settings.NodeRankAgent) }
+			return node.RunRankAgent(cmd.Context(), load, platform.Adapter, cmd.OutOrStdout())
 		},
 	}
 	addNodeSettingsFlag(c, &file)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,17 +81,24 @@
 	// active counts the requests that are being handled.
 	active  sync.WaitGroup
 	leaving atomic.Bool
+	// revoke is Config.Revoke in nanoseconds, which a reload may change.
+	revoke atomic.Int64
 }
 
+// SetRevoke sets how long after its removal a key may be used.
+func (g *Gateway) SetRevoke(d time.Duration) { g.revoke.Store(int64(d)) }
+
 // New returns a gateway. Run must be called too.
 func New(c Config) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		Config:   c,
 		services: newServices(c.Zone, c.Recorder),
 		budget:   retry.NewWindow(c.RetryRatio*ratioShare, 0, c.RetryWindow),
 		kept:     &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		fresh:    &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
 	}
+	g.SetRevoke(c.Revoke)
+	return g
 }
 
 func newTransport(once bool) *http.Transport {
@@ -256,7 +263,7 @@
 		if account == nil {
 			return g.unknown(age, http.StatusUnauthorized, verdict.ReasonUnauthenticated, "the key is not known")
 		}
-		if age > g.Revoke-revokeMargin {
+		if age > time.Duration(g.revoke.Load())-revokeMargin {
 			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration,
 				"the keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(time.Second)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -65,6 +65,8 @@
 		b.mu.Lock()
 		b.runs = append(b.runs, r.Header.Get("Id"))
 		b.mu.Unlock()
+		// The server sees that its caller left only after it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("Id", r.Header.Get("Id"))
 		f(w, r)
 	}))
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -66,15 +66,19 @@
 
 // RunGateway runs a gateway and logs to w. It returns nil after a graceful
 // shutdown, which begins when ctx is done.
-func RunGateway(ctx context.Context, c settings.NodeConfig, a Adapter, w io.Writer) error {
+func RunGateway(ctx context.Context, load Load, adapt func(settings.NodeConfig) Adapter, w io.Writer) error {
+	c, err := load()
+	if err != nil {
+		return err
+	}
 	sink := logsink.New(w)
 	defer sink.Close(logFlush)
-	p, err := provisionGateway(c, a, sink)
+	p, err := provisionGateway(c, adapt(c), sink)
 	if err != nil {
 		return err
 	}
 	p.recorder.Record("started", "", events.F("zone", c.Zone), events.F("callers", c.Listen.Callers), events.F("control", c.Listen.Control))
-	err = p.run(ctx)
+	err = p.run(ctx, load)
 	p.recorder.Record("stopped", "", events.F("error", errorText(err)))
 	return errors.Join(err, p.metrics.Close())
 }
@@ -126,7 +130,7 @@
 
 // run serves until the process has left or a part fails. The parts outlive ctx,
 // because a leaving process still serves.
-func (p *gatewayProcess) run(ctx context.Context) error {
+func (p *gatewayProcess) run(ctx context.Context, load Load) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, running := errgroup.WithContext(running)
@@ -134,6 +138,10 @@
 	group.Go(func() error { p.gateway.Run(running); return nil })
 	group.Go(func() error { p.control.Run(running); return nil })
 	group.Go(func() error { p.greet(running); return nil })
+	group.Go(func() error {
+		watchSettings(running, p.config, load, p.recorder, p.apply)
+		return nil
+	})
 	group.Go(func() error { return p.socket.Receive(p.receive, p.malformed) })
 	p.callers = &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
@@ -192,6 +200,13 @@
 	}
 }
 
+// apply takes changed settings. Addresses and limits of the machine hold until
+// the next start.
+func (p *gatewayProcess) apply(c settings.NodeConfig) {
+	p.members.SetSeeds(c.Peers.Seeds)
+	p.gateway.SetRevoke(c.Bounds.Revoke())
+}
+
 // greet tells other gateways about this one until ctx is done.
 func (p *gatewayProcess) greet(ctx context.Context) {
 	tick := time.NewTicker(peers.HelloInterval)
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -22,7 +22,11 @@
 
 // RunRankAgent runs the agent beside an engine and logs to w. It returns nil
 // when ctx is done.
-func RunRankAgent(ctx context.Context, c settings.NodeConfig, a Adapter, w io.Writer) error {
+func RunRankAgent(ctx context.Context, load Load, adapt func(settings.NodeConfig) Adapter, w io.Writer) error {
+	c, err := load()
+	if err != nil {
+		return err
+	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(c.Limits.MemoryMB) * 1e6))
 	sink := logsink.New(w)
 	defer sink.Close(logFlush)
@@ -34,7 +38,7 @@
 		return err
 	}
 	agent := rankagent.New(rankagent.Config{
-		Name: c.Name, Address: address, Seeds: c.Peers.Seeds, Engine: a.Engine(c.Rank.Engine), Recorder: recorder,
+		Name: c.Name, Address: address, Seeds: c.Peers.Seeds, Engine: adapt(c).Engine(c.Rank.Engine), Recorder: recorder,
 		Send: func(to string, message peers.Message) {
 			if err := socket.Send(to, message); err != nil {
 				m.Scope.Counter("datagrams_unsent").Inc(1)
@@ -51,6 +55,10 @@
 		group.Go(func() error { return serve(s) })
 	}
 	group.Go(func() error { agent.Run(running); return nil })
+	group.Go(func() error {
+		watchSettings(running, c, load, recorder, func(c settings.NodeConfig) { agent.SetSeeds(c.Peers.Seeds) })
+		return nil
+	})
 	group.Go(func() error {
 		return socket.Receive(agent.Receive, func(error) { m.Scope.Counter("datagrams_malformed").Inc(1) })
 	})
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+)
+
+// reloadInterval is how often the settings are read without a signal. They may
+// change without one.
+const reloadInterval = 2 * time.Second
+
+// Load reads the settings of the process.
+type Load func() (settings.NodeConfig, error)
+
+// watchSettings reads the settings again on SIGHUP and from time to time, and
+// calls apply when they have changed. Settings that can't be read change nothing.
+func watchSettings(ctx context.Context, c settings.NodeConfig, load Load, recorder *events.Recorder, apply func(settings.NodeConfig)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		cause := "changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			cause = "signal"
+		case <-tick.C:
+		}
+		next, err := load()
+		if err != nil {
+			recorder.Record("settings_unreadable", "", events.F("cause", cause), events.F("error", err.Error()))
+			continue
+		}
+		changed := !reflect.DeepEqual(next, c)
+		if changed || cause == "signal" {
+			recorder.Record("settings_reloaded", "", events.F("cause", cause), events.F("changed", changed))
+		}
+		if changed {
+			c = next
+			apply(next)
+		}
+	}
+}
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -50,6 +50,13 @@
 	return &Members{self: self, seeds: seeds, recorder: recorder, now: time.Now, started: time.Now(), peers: map[string]*member{}}
 }
 
+// SetSeeds replaces the seeds.
+func (m *Members) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
 // Heard takes a gateway's message.
 func (m *Members) Heard(h *Hello) {
 	m.mu.Lock()
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -110,6 +110,13 @@
 	return a.controller, a.controller != ""
 }
 
+// SetSeeds replaces the seeds.
+func (a *Agent) SetSeeds(seeds []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Seeds = seeds
+}
+
 // Receive takes a datagram.
 func (a *Agent) Receive(m peers.Message) {
 	switch m := m.(type) {
