--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,120 @@
+package peers
+
+import (
+	"errors"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+)
+
+func peer(name string, start int, processor float64) Peer {
+	return Peer{Name: name, Start: fleet.StartID(start), Control: name + ":1", Callers: name + ":2", Serving: true, Processor: processor}
+}
+
+type view struct {
+	*Members
+	now time.Time
+}
+
+func newView(self Peer, seeds ...string) *view {
+	v := &view{now: time.Unix(1000, 0)}
+	v.Members = NewMembers(func() Peer { return self }, seeds, events.NewRecorder("m", 1, io.Discard))
+	v.Members.now = func() time.Time { return v.now }
+	v.Members.started = v.now
+	return v
+}
+
+// Guards against addresses of gateways that are gone or leave, and against
+// forgetting one for a single lost message.
+func TestLostAndLeavingGateways(t *testing.T) {
+	is := is.New(t)
+	v := newView(peer("a", 1, 1))
+	v.Heard(&Hello{From: peer("b", 2, 1)})
+	v.now = v.now.Add(2 * HelloInterval)
+	is.Equal(len(v.Alive()), 2)
+	v.now = v.now.Add(aliveFor)
+	is.Equal(len(v.Alive()), 1)
+	leaving := peer("b", 2, 1)
+	leaving.Serving = false
+	v.Heard(&Hello{From: leaving})
+	is.Equal(len(v.Alive()), 2)
+	is.True(!v.Alive()[1].Serving)
+}
+
+// Guards against gateways that never meet: seeds may be stale or down, and others
+// are learned from those that are heard.
+func TestGatewaysAreLearned(t *testing.T) {
+	is := is.New(t)
+	v := newView(peer("a", 1, 1), "seed:1", "a:1")
+	to, _ := v.Tick()
+	is.Equal(to, []string{"seed:1"})
+	v.Heard(&Hello{From: peer("b", 2, 1), Known: []string{"c:1", "a:1"}})
+	to, hello := v.Tick()
+	is.Equal(len(to), 3) // seed, b and c
+	is.Equal(hello.Known, []string{"b:1"})
+}
+
+// Guards against a control that moves with every restart, or that lies with a
+// small or leaving machine.
+func TestController(t *testing.T) {
+	is := is.New(t)
+	v := newView(peer("a", 5, 0.4))
+	v.Heard(&Hello{From: peer("b", 3, 0.4)})
+	is.Equal(v.Controller().Name, "b")
+	v.Heard(&Hello{From: peer("c", 9, 0.8)})
+	is.Equal(v.Controller().Name, "c")
+	leaving := peer("c", 9, 0.8)
+	leaving.Serving = false
+	v.Heard(&Hello{From: leaving})
+	is.Equal(v.Controller().Name, "b")
+	n, settled := v.Count()
+	is.Equal(n, 3)
+	is.True(!settled)
+	v.now = v.now.Add(settleTime)
+	_, settled = v.Count()
+	is.True(settled)
+}
+
+// Guards against messages that are read as something else, or stop a receiver.
+func TestMessagesSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	g := &Group{Controller: "a:1", Group: "g", Limit: 7}
+	ranks := []RankLoad{
+		{Engine: netip.MustParseAddrPort("192.0.2.1:80"), Load: 300, Avoid: true},
+		{Engine: netip.MustParseAddrPort("192.0.2.2:81"), Load: 4},
+	}
+	g.Pack(append(ranks, RankLoad{}))
+	data, err := encode(g)
+	is.NoErr(err)
+	m, err := decode(data)
+	is.NoErr(err)
+	got := m.(*Group).Unpack()
+	is.Equal(len(got), 2)
+	is.Equal(got[0], RankLoad{Engine: ranks[0].Engine, Load: avoidBit - 1, Avoid: true})
+	is.Equal(got[1], ranks[1])
+	for _, broken := range [][]byte{nil, {0}, {99, 1}, {kindHello, 0xff}} {
+		_, err := decode(broken)
+		is.True(err != nil)
+	}
+	full := &Group{}
+	full.Pack(make170(t))
+	_, err = encode(full)
+	is.NoErr(err)
+	_, err = encode(&Picks{Counts: make([]byte, 2000)})
+	is.True(errors.Is(err, ErrTooLong))
+}
+
+func make170(t *testing.T) []RankLoad {
+	t.Helper()
+	out := make([]RankLoad, RanksPerMessage)
+	for i := range out {
+		out[i].Engine = netip.MustParseAddrPort("192.0.2.1:80")
+	}
+	return out
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,38 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against more repeated sends than the budget in any window, which the
+// deployments check over 10 s.
+func TestWindowBoundsRepeats(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	w := NewWindow(0.2, 10, 10*time.Second)
+	w.now = func() time.Time { return now }
+	taken := []time.Time{}
+	for range 600 { // 60 s with 10 requests a second
+		now = now.Add(100 * time.Millisecond)
+		w.Request()
+		for w.Take() {
+			taken = append(taken, now)
+		}
+	}
+	for _, from := range taken {
+		n := 0
+		for _, at := range taken {
+			if !at.Before(from) && at.Before(from.Add(9*time.Second)) {
+				n++
+			}
+		}
+		is.True(n <= 30) // 0.2 of 100 requests and 10
+	}
+	is.True(len(taken) > 60)
+	w.SetSlack(0)
+	now = now.Add(time.Minute)
+	is.True(!w.Take())
+}
