--- a/internal/mapcontrol/plan.go
+++ b/internal/mapcontrol/plan.go
@@ -145,6 +145,10 @@
 	out := make([][][]int, len(layers))
 	for l, m := range layers {
 		out[l] = make([][]int, ranks)
+		for rank := range out[l] {
+			// A rank without experts has an empty list; engines refuse an absent one.
+			out[l][rank] = []int{}
+		}
 		for expert, holders := range m {
 			for _, rank := range holders {
 				out[l][rank] = append(out[l][rank], expert)
--- a/internal/mapcontrol/plan_test.go
+++ b/internal/mapcontrol/plan_test.go
@@ -1,6 +1,7 @@
 package mapcontrol
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -130,6 +131,17 @@
 	is.True(p.after < 1.4) // relative to a group without the slow rank's part
 }
 
+// Guards against an absent list for a rank without experts, as a slow one may
+// be: engines answered each such order with 400, and the group kept its map while
+// a rank was 12 times slower.
+func TestRankWithoutExpertsHasAnEmptyList(t *testing.T) {
+	is := is.New(t)
+	out := byRank([]placement.Map{{{0}, {0, 2}}}, 3)
+	body, err := json.Marshal(out)
+	is.NoErr(err)
+	is.Equal(string(body), "[[[0,1],[],[1]]]")
+}
+
 func TestRoomIsSharedOut(t *testing.T) {
 	is := is.New(t)
 	for room := range 9 {
