mapcontrol: the controller leads switches, control is handed over

Moving gateways lost another 1 to 3 s: agents missed the old controller for 1.5 s first. Ruled out: a switch without a hold, by arms far ahead: a lead that stops between two arms leaves mixed maps, which breaks a rule.

--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -36,8 +36,10 @@
 	// retryPause is the pause after a failed change.
 	retryPause = 300 * time.Millisecond
 	// agentInterval is the time between two messages to agents. They look for
-	// another controller after 1.5 s.
-	agentInterval = 400 * time.Millisecond
+	// another controller after 0.9 s.
+	agentInterval = 250 * time.Millisecond
+	// gatewaysInWelcome bounds the gateways in a message to an agent.
+	gatewaysInWelcome = 20
 	// tellInterval is the time between two messages about a group.
 	tellInterval = 100 * time.Millisecond
 )
@@ -51,8 +53,10 @@
 	Metrics  tally.Scope
 	// Engine returns a client for the engine at an address.
 	Engine func(address string) rankagent.Engine
-	// Controls reports whether this process is the controller.
+	// Controls reports whether this process is the controller, Leader returns the
+	// address of the one that is.
 	Controls func() bool
+	Leader   func() string
 	// Send sends a datagram; Gateways returns the addresses of the others.
 	Send     func(address string, m peers.Message)
 	Gateways func() []string
@@ -149,6 +153,7 @@
 		if controls != c.was {
 			c.was = controls
 			c.Recorder.Record("control", "", events.F("controls", controls))
+			c.handOver()
 		}
 		if controls {
 			c.round(ctx)
@@ -156,6 +161,20 @@
 	}
 }
 
+// handOver tells the agents who controls their groups now, so that they need not
+// miss the former controller first.
+func (c *Controller) handOver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &peers.Welcome{Controller: c.Leader(), Gateways: c.Gateways()}
+	m.Gateways = m.Gateways[:min(len(m.Gateways), gatewaysInWelcome)]
+	for _, g := range c.groups {
+		for _, r := range g.ranks {
+			c.Send(r.Agent, m)
+		}
+	}
+}
+
 func (c *Controller) round(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -467,8 +486,7 @@
 	prepared := time.Since(began)
 	var step int64
 	if err == nil {
-		lead := int(version) % len(agents)
-		step, err = rankagent.NewClient(agents[lead]).Switch(ctx, rankagent.SwitchCall{Epoch: epoch, Version: version, Lead: lead, Agents: agents})
+		step, err = c.switchTo(ctx, g, agents, epoch, version)
 		if err != nil {
 			c.settle(ctx, g)
 		}
@@ -493,6 +511,22 @@
 	})
 }
 
+// switchTo leads the switch of a group. The orders go to the engines themselves:
+// if this process stops in between, another one can reach every rank, which it
+// could not if the machine of a rank stopped.
+func (c *Controller) switchTo(ctx context.Context, g *group, agents []string, epoch, version int64) (step int64, err error) {
+	engines, all := c.engines(g)
+	if !all {
+		return 0, errors.New("not all engines are known")
+	}
+	reporters := make([]rankagent.Reporter, len(agents))
+	for rank, address := range agents {
+		reporters[rank] = rankagent.NewClient(address)
+	}
+	lead := int(version) % len(engines)
+	return rankagent.Switch(ctx, engines, reporters, lead, epoch, version)
+}
+
 func forAll(agents []string, f func(rank int, agent string) error) error {
 	errs := make([]error, len(agents))
 	var calls sync.WaitGroup
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -11,10 +11,10 @@
 
 const (
 	// HelloInterval is the time between two messages to the same gateway.
-	HelloInterval = 500 * time.Millisecond
+	HelloInterval = 400 * time.Millisecond
 	// aliveFor is the time without a message after which a gateway counts as
 	// lost: three messages and a little more.
-	aliveFor = 1600 * time.Millisecond
+	aliveFor = 1300 * time.Millisecond
 	// forgetAfter is when a lost gateway is no longer called.
 	forgetAfter = 30 * time.Second
 	// settleTime is the time after the start in which other gateways may be
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -19,7 +19,7 @@
 	reportsPerSecond = 2500
 	// controllerLostAfter is the time without a word from the controller after
 	// which an agent asks for another one.
-	controllerLostAfter = 1500 * time.Millisecond
+	controllerLostAfter = 900 * time.Millisecond
 )
 
 // Config is what an Agent works with.
--- a/internal/rankagent/engine.go
+++ b/internal/rankagent/engine.go
@@ -81,11 +81,16 @@
 	return [...]string{"unanswered", "begun", "done", "conflict"}[min(o, Conflict)]
 }
 
-// Engine is the engine of a rank.
-type Engine interface {
+// Reporter tells the state of a rank.
+type Reporter interface {
 	// Report returns the engine's state; only the fields that describe the
 	// engine are set.
 	Report(ctx context.Context) (peers.Report, error)
+}
+
+// Engine is the engine of a rank.
+type Engine interface {
+	Reporter
 	// Picks returns the counts of experts.
 	Picks(ctx context.Context) (Picks, error)
 	// Maps returns the rank's experts.
--- a/internal/rankagent/group_test.go
+++ b/internal/rankagent/group_test.go
@@ -58,6 +58,14 @@
 	return out
 }
 
+func (g *fakeGroup) reporters() []Reporter {
+	out := make([]Reporter, len(g.ranks))
+	for i, r := range g.ranks {
+		out[i] = r
+	}
+	return out
+}
+
 // run lets passes begin until ctx is done.
 func (g *fakeGroup) run(ctx context.Context, pass time.Duration) {
 	for ctx.Err() == nil {
--- a/internal/rankagent/server.go
+++ b/internal/rankagent/server.go
@@ -23,9 +23,7 @@
 		maps, err := a.Engine.Maps(r.Context())
 		a.answer(w, &maps, err)
 	})
-	mux.HandleFunc("POST "+pathOrder, a.serveOrder)
 	mux.HandleFunc("POST "+pathPrepare, a.servePrepare)
-	mux.HandleFunc("POST "+pathSwitch, a.serveSwitch)
 	return mux
 }
 
@@ -64,25 +62,15 @@
 	return r
 }
 
-func (a *Agent) serveOrder(w http.ResponseWriter, r *http.Request) {
-	o, ok := decodeCall[Order](w, r)
-	if !ok {
-		return
-	}
-	outcome, err := a.Engine.Order(r.Context(), *o)
-	if outcome != Done && outcome != Begun {
-		a.Recorder.Record("order_failed", "", events.F("operation", o.Operation.String()), events.F("version", o.Version),
-			events.F("step", o.Step), events.F("epoch", o.Epoch), events.F("outcome", outcome.String()), events.F("error", errorText(err)))
-	}
-	a.answer(w, result(outcome, err), nil)
-}
-
 func (a *Agent) servePrepare(w http.ResponseWriter, r *http.Request) {
 	o, ok := decodeCall[Order](w, r)
 	if !ok {
 		return
 	}
 	err := PrepareMap(r.Context(), a.Engine, *o)
+	if err != nil {
+		a.Recorder.Record("prepare_failed", "", events.F("version", o.Version), events.F("epoch", o.Epoch), events.F("error", err.Error()))
+	}
 	outcome := Done
 	switch {
 	case errors.Is(err, errConflict):
@@ -93,36 +81,6 @@
 	a.answer(w, result(outcome, err), nil)
 }
 
-func (a *Agent) serveSwitch(w http.ResponseWriter, r *http.Request) {
-	c, ok := decodeCall[SwitchCall](w, r)
-	if !ok {
-		return
-	}
-	if c.Lead < 0 || c.Lead >= len(c.Agents) {
-		http.Error(w, "the lead is not a rank", http.StatusBadRequest)
-		return
-	}
-	engines := make([]Engine, len(c.Agents))
-	for rank, address := range c.Agents {
-		engines[rank] = NewClient(address)
-	}
-	engines[c.Lead] = a.Engine
-	step, err := Switch(r.Context(), engines, c.Lead, c.Epoch, c.Version)
-	out := result(Done, err)
-	out.Step = step
-	a.Recorder.Record("map_switched", "", events.F("version", c.Version), events.F("epoch", c.Epoch), events.F("step", step), events.F("error", errorText(err)))
-	a.answer(w, out, nil)
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-var _ Engine = (*Client)(nil)
-
 // countsPerMessage keeps a message of picks within a datagram.
 const countsPerMessage = 1200
 
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -23,6 +23,9 @@
 	// switch takes less than 100 ms; after this time the controller may end the
 	// switch in the lead's place.
 	SwitchLease = 600 * time.Millisecond
+	// reportLag is the age of what an engine tells other machines: 200 ms by the
+	// deployments' figures, with room for one more update.
+	reportLag = 400 * time.Millisecond
 	// answerWithin is the time in which every rank has to answer before a switch.
 	answerWithin = 120 * time.Millisecond
 	// resolveTimeout bounds the end of an open switch. A rank that does not answer
@@ -40,14 +43,14 @@
 // Switch changes the map of a group to a version that all its ranks have
 // prepared. The rank lead holds the group before a pass until every rank is
 // armed for that pass, so that all ranks change with the same pass. engines has
-// the ranks in order.
-func Switch(ctx context.Context, engines []Engine, lead int, epoch, version int64) (step int64, err error) {
+// the ranks in order, and agents what answers for the machine of each.
+func Switch(ctx context.Context, engines []Engine, agents []Reporter, lead int, epoch, version int64) (step int64, err error) {
 	ctx, cancel := withLease(ctx, SwitchLease)
 	defer cancel()
-	if err := allPrepared(ctx, engines, epoch, version); err != nil {
+	if err := allPrepared(ctx, agents, epoch, version); err != nil {
 		return 0, err
 	}
-	step, err = hold(ctx, engines[lead], epoch)
+	step, err = hold(ctx, engines[lead], agents[lead], epoch)
 	if err != nil {
 		return 0, err
 	}
@@ -57,10 +60,10 @@
 // allPrepared returns an error unless every rank answers now and is ready for the
 // switch. A group that is held while a rank does not answer stays held until it
 // does, so that is found out before.
-func allPrepared(ctx context.Context, engines []Engine, epoch, version int64) error {
+func allPrepared(ctx context.Context, agents []Reporter, epoch, version int64) error {
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
-	states, err := reports(ctx, engines)
+	states, err := reports(ctx, agents)
 	if err != nil {
 		return err
 	}
@@ -81,6 +84,10 @@
 func Resolve(ctx context.Context, engines []Engine) (found string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
+	// The engines' reports must be later than the lead's last order.
+	if !pause(ctx, reportLag) {
+		return "", ctx.Err()
+	}
 	states, err := reports(ctx, engines)
 	if err != nil {
 		return "", err
@@ -133,10 +140,12 @@
 }
 
 // hold stops the group before a pass that has not begun, and returns the pass.
-func hold(ctx context.Context, e Engine, epoch int64) (int64, error) {
+// The last pass that has begun is read at the engine's own machine: what an
+// engine tells other machines is some hundred milliseconds old.
+func hold(ctx context.Context, e Engine, agent Reporter, epoch int64) (int64, error) {
 	var last error
 	for range holdTries {
-		state, err := e.Report(ctx)
+		state, err := agent.Report(ctx)
 		if err != nil {
 			return 0, err
 		}
@@ -249,7 +258,7 @@
 	}
 }
 
-func reports(ctx context.Context, engines []Engine) ([]peers.Report, error) {
+func reports[R Reporter](ctx context.Context, engines []R) ([]peers.Report, error) {
 	out := make([]peers.Report, len(engines))
 	errs := make([]error, len(engines))
 	var calls sync.WaitGroup
--- a/internal/rankagent/switch_test.go
+++ b/internal/rankagent/switch_test.go
@@ -34,7 +34,7 @@
 			startGroup(t, g)
 			for version := int64(1); version <= 6; version++ {
 				g.prepare(version)
-				_, err := Switch(context.Background(), g.engines(), int(version)%8, 1, version)
+				_, err := Switch(context.Background(), g.engines(), g.reporters(), int(version)%8, 1, version)
 				if err != nil {
 					_, err := Resolve(context.Background(), g.engines())
 					is.NoErr(err)
@@ -104,7 +104,7 @@
 			for i, e := range engines {
 				engines[i] = stopAfter{Engine: e, left: &left, stop: cancel}
 			}
-			_, err := Switch(ctx, engines, 2, 1, 1)
+			_, err := Switch(ctx, engines, g.reporters(), 2, 1, 1)
 			is.True((err == nil) == (orders >= ranks+2)) // hold, arms, go
 			found, err := Resolve(context.Background(), g.engines())
 			is.NoErr(err)
@@ -130,7 +130,7 @@
 	startGroup(t, g)
 	g.prepare(1)
 	g.ranks[3].silent = true
-	_, err := Switch(context.Background(), g.engines(), 0, 1, 1)
+	_, err := Switch(context.Background(), g.engines(), g.reporters(), 0, 1, 1)
 	is.True(err != nil)
 	for _, r := range g.ranks {
 		is.Equal(r.orders, 0)
@@ -175,7 +175,7 @@
 	g.prepare(1)
 	g.epoch = 2
 	began := time.Now()
-	_, err := Switch(context.Background(), g.engines(), 0, 1, 1)
+	_, err := Switch(context.Background(), g.engines(), g.reporters(), 0, 1, 1)
 	is.True(err != nil)
 	is.True(PrepareMap(context.Background(), g.ranks[0], Order{Operation: Prepare, Epoch: 1, Version: 5}) != nil)
 	is.True(time.Since(began) < time.Second)
