--- a/internal/mapcontrol/limit.go
+++ b/internal/mapcontrol/limit.go
@@ -16,7 +16,7 @@
 	passMemory = 0.4
 	// modelShare is the part of the tightest allowed pause that a pass may take by
 	// the engine's own figures, reading of prompts left out.
-	modelShare = 0.95
+	modelShare = 0.88
 	// peakMemory is the weight of the unevenness that a new shift of demand brought.
 	peakMemory = 0.3
 	// feedbackFloor is the part of the modelled number down to which the measured
--- a/internal/mapcontrol/plan.go
+++ b/internal/mapcontrol/plan.go
@@ -26,10 +26,12 @@
 	planChanges = 48
 )
 
-// planRooms are the numbers of experts that a plan may bring to one rank, over
-// all layers. A rank copies one after the other, so a small number gives a map
-// that is less even, but sooner.
-var planRooms = []int{1, 2, 3, 5, 8, 14, 24}
+// planRooms returns the numbers of experts that a plan may bring to one rank,
+// over all layers. A rank copies one after the other, so a small number gives a
+// map that is less even, but sooner.
+func planRooms(layers int) []int {
+	return []int{max(layers/4, 1), max(layers/2, 1), max(3*layers/4, 1), layers, 2 * layers}
+}
 
 // plan is a map for a group, with what is expected of it.
 type plan struct {
@@ -54,7 +56,7 @@
 func choosePlan(e *deployment.Engine, present []placement.Map, d *demand, speeds []float64, lasts time.Duration) (plan, error) {
 	var best plan
 	bestAt := 0
-	for i, room := range planRooms {
+	for i, room := range planRooms(len(present)) {
 		p, err := makePlan(e, present, d, speeds, room)
 		if err != nil {
 			return plan{}, err
--- a/internal/mapcontrol/plan_test.go
+++ b/internal/mapcontrol/plan_test.go
@@ -61,7 +61,7 @@
 			is := is.New(t)
 			l, d, maps := afterShift(is, s, 7)
 			group := placement.Group{Ranks: l.ranks, SlotsPerRank: l.engine.SlotsPerRank, BytesPerExpert: 1}
-			for _, room := range planRooms {
+			for _, room := range planRooms(l.engine.Layers) {
 				p, err := makePlan(&l.engine, maps, d, even(l.ranks), room)
 				is.NoErr(err)
 				all := make([]int, l.ranks)
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -108,7 +108,7 @@
 	}
 	epoch, step := states[0].Epoch, states[lead].Held
 	if version == 0 {
-		return "held and not armed", settle(ctx, engines[lead], Order{Operation: Go, Epoch: epoch, Step: step}, notHeld(step))
+		return "held and not armed", release(ctx, engines[lead], epoch, step)
 	}
 	return "held and armed", finish(ctx, engines, lead, epoch, version, step)
 }
@@ -121,9 +121,8 @@
 		return settle(ctx, e, Order{Operation: Arm, Epoch: epoch, Version: version, Step: step}, armed)
 	})
 	if failed != nil && ctx.Err() == nil && !errors.Is(failed, errEpoch) {
-		disarmed := func(s peers.Report) bool { return s.Armed == 0 }
 		if err := all(engines, func(e Engine) error {
-			return settle(ctx, e, Order{Operation: Disarm, Epoch: epoch, Version: version}, disarmed)
+			return settle(ctx, e, Order{Operation: Disarm, Epoch: epoch, Version: version}, never)
 		}); err != nil {
 			return errors.Join(failed, err)
 		}
@@ -132,13 +131,24 @@
 		// The group stays held: with ranks in an unknown state it must not go on.
 		return errors.Join(failed, ctx.Err())
 	}
-	return errors.Join(failed, settle(ctx, engines[lead], Order{Operation: Go, Epoch: epoch, Step: step}, notHeld(step)))
+	return errors.Join(failed, release(ctx, engines[lead], epoch, step))
 }
 
-func notHeld(step int64) func(peers.Report) bool {
-	return func(s peers.Report) bool { return s.Held != step }
+// release lets the group begin a pass, and returns when the engine has answered.
+// A report that shows no hold proves nothing: it may be older than the hold.
+func release(ctx context.Context, e Engine, epoch, step int64) error {
+	err := settle(ctx, e, Order{Operation: Go, Epoch: epoch, Step: step}, never)
+	if errors.Is(err, errConflict) {
+		// The rank is not held before that pass any more.
+		return nil
+	}
+	return err
 }
 
+// never is for orders that undo something: what a report no longer shows, it may
+// not show yet.
+func never(peers.Report) bool { return false }
+
 // hold stops the group before a pass that has not begun, and returns the pass.
 // The last pass that has begun is read at the engine's own machine: what an
 // engine tells other machines is some hundred milliseconds old.
@@ -171,9 +181,9 @@
 // errConflict tells that an order does not fit the engine's state.
 var errConflict = errors.New("the engine refused the order")
 
-// settle sends an order until the engine's own report shows that it holds. An
-// answer is no proof by itself, and a lost one no failure: the order may have
-// been carried out, or may be later.
+// settle sends an order until the engine has answered, or its report shows that
+// it holds. A lost answer is no failure: the order may have been carried out, or
+// may be later.
 func settle(ctx context.Context, e Engine, o Order, holds func(peers.Report) bool) error {
 	for {
 		if err := ctx.Err(); err != nil {
--- a/internal/rankagent/switch_test.go
+++ b/internal/rankagent/switch_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 )
 
 // pass is the time of a pass of the fake group.
@@ -151,7 +154,7 @@
 	}
 	is.True(ctx.Err() != nil)
 	g := newFakeGroup(2, 1, 0)
-	err := settle(ctx, g.ranks[0], Order{Operation: Hold, Epoch: 1, Step: 9}, notHeld(0))
+	err := settle(ctx, g.ranks[0], Order{Operation: Hold, Epoch: 1, Step: 9}, never)
 	is.True(err != nil)
 	is.Equal(g.ranks[0].orders, 0)
 }
@@ -180,3 +183,45 @@
 	is.True(PrepareMap(context.Background(), g.ranks[0], Order{Operation: Prepare, Epoch: 1, Version: 5}) != nil)
 	is.True(time.Since(began) < time.Second)
 }
+
+// lagged is an engine whose reports are as of some passes ago, as engines report
+// to other machines.
+type lagged struct {
+	*fakeRank
+	mu   *sync.Mutex
+	past *[]peers.Report
+}
+
+func (l lagged) Report(ctx context.Context) (peers.Report, error) {
+	r, err := l.fakeRank.Report(ctx)
+	if err != nil {
+		return r, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*l.past = append(*l.past, r)
+	return (*l.past)[max(len(*l.past)-4, 0)], nil
+}
+
+// Guards against a group that stays held because an old report shows no hold yet:
+// an unanswered go then counted as carried out (held for 2.8 s on a grown day).
+func TestGoIsSentUntilItIsAnswered(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g := newFakeGroup(4, seed, 0.4)
+			startGroup(t, g)
+			g.prepare(1)
+			engines := g.engines()
+			for i, r := range g.ranks {
+				engines[i] = lagged{r, &sync.Mutex{}, &[]peers.Report{}}
+			}
+			_, err := Switch(context.Background(), engines, g.reporters(), 1, 1, 1)
+			g.mu.Lock()
+			held := g.ranks[1].held
+			g.mu.Unlock()
+			is.True(err != nil || held == 0) // the controller ends a switch with an error
+		})
+	}
+}
