gateway: send callers elsewhere at once while the store is out of reach

Change: Retry-After is 40 ms there, and address answers name such a gateway only when there is no other.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,9 @@
 	// route or key may be newer than the copy. Such a request is refused with 503
 	// and not with 404 or 401. The feed confirms the copy every 1.9 s.
 	staleAfter = 2300 * time.Millisecond
+	// elsewhereAfter is when a caller may come back that another gateway can
+	// probably serve: the store turns single machines away for seconds.
+	elsewhereAfter = 40 * time.Millisecond
 	// revokeMargin is kept from the time for which a key may be used on an old
 	// copy, for the way from here to the backend server.
 	revokeMargin = 300 * time.Millisecond
@@ -155,6 +158,15 @@
 	return !g.leaving.Load() && g.Feed.Snapshot().Configuration != nil
 }
 
+// keysExpired reports whether the copy of the configuration is too old for the
+// use of keys.
+func (g *Gateway) keysExpired() bool {
+	return g.Feed.Age() > time.Duration(g.revoke.Load())-revokeMargin
+}
+
+// Fresh reports whether the gateway can serve requests with keys.
+func (g *Gateway) Fresh() bool { return !g.keysExpired() }
+
 // Wait returns when no request is being handled.
 func (g *Gateway) Wait() { g.active.Wait() }
 
@@ -263,9 +275,9 @@
 		if account == nil {
 			return g.unknown(age, http.StatusUnauthorized, verdict.ReasonUnauthenticated, "the key is not known")
 		}
-		if age > time.Duration(g.revoke.Load())-revokeMargin {
+		if g.keysExpired() {
 			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration,
-				"the keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(time.Second)
+				"the keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(elsewhereAfter)
 		}
 		r.account = account.Name
 		if account.Urgency >= 0 {
@@ -284,7 +296,7 @@
 func (g *Gateway) unknown(age time.Duration, status int, reason verdict.Reason, detail string) *verdict.Error {
 	if age > staleAfter {
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, "%s; the configuration was last confirmed %s ago",
-			detail, age.Round(time.Millisecond)).WithRetryAfter(time.Second)
+			detail, age.Round(time.Millisecond)).WithRetryAfter(elsewhereAfter)
 	}
 	return verdict.Refuse(status, reason, "%s", detail)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -482,8 +482,12 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	before := b.ran()
-	is.Equal(status("/safe/x"), 503)
+	s, _, _, h := w.ask(t, "GET", "/safe/x")
+	is.Equal(s, 503)
 	is.Equal(b.ran(), before)
+	// Another gateway may have the store: the caller is not kept for a second.
+	is.Equal(h.Get("Retry-After"), "0.040")
+	is.True(!w.gateway.Fresh())
 }
 
 // Guards against a body beyond the limit, and against the key in a backend
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -125,7 +125,7 @@
 	return peers.Peer{
 		Name: p.config.Name, Start: p.start, Control: p.config.Listen.Control, Callers: p.config.Listen.Callers,
 		Zone: fleet.AvailabilityZone(p.config.Zone), Serving: p.gateway.Ready(),
-		Processor: p.config.Limits.Processor,
+		Stale: !p.gateway.Fresh(), Processor: p.config.Limits.Processor,
 	}
 }
 
@@ -290,14 +290,21 @@
 	}
 }
 
-// addresses returns the gateways that serve, in random order.
+// addresses returns the gateways that serve, in random order. Stale ones are
+// named only when there is no other.
 func (p *gatewayProcess) addresses(fleet.AvailabilityZone) ([]string, time.Duration) {
-	var out []string
+	var out, stale []string
 	for _, x := range p.members.Alive() {
-		if x.Serving {
+		switch {
+		case x.Serving && !x.Stale:
 			out = append(out, x.Callers)
+		case x.Serving:
+			stale = append(stale, x.Callers)
 		}
 	}
+	if len(out) == 0 {
+		out = stale
+	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	const mostAddresses = 64 // callers take no more
 	lifetime := min(addressLifetime, time.Duration(p.config.Bounds.AddressLifetimeS*float64(time.Second)))
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -30,6 +30,9 @@
 	Zone    fleet.AvailabilityZone `cbor:"5,keyasint"`
 	// Serving tells that the gateway takes callers' requests.
 	Serving bool `cbor:"6,keyasint"`
+	// Stale tells that the gateway has had no contact to the store for so long that
+	// it can't serve requests with keys.
+	Stale bool `cbor:"8,keyasint,omitempty"`
 	// Processor is the part of a processor core that the gateway may use.
 	Processor float64 `cbor:"7,keyasint"`
 }
