--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,9 +80,7 @@
 	kept     *http.Client
 	fresh    *http.Client
 	bodies   atomic.Int64
-	// active counts the requests that are being handled.
-	active  sync.WaitGroup
-	leaving atomic.Bool
+	leaving  atomic.Bool
 	// revoke is Config.Revoke in nanoseconds, which a reload may change.
 	revoke atomic.Int64
 }
@@ -167,9 +164,6 @@
 // Fresh reports whether the gateway can serve requests with keys.
 func (g *Gateway) Fresh() bool { return !g.keysExpired() }
 
-// Wait returns when no request is being handled.
-func (g *Gateway) Wait() { g.active.Wait() }
-
 // avoidFor is how long a server is out of use that the controller wants avoided.
 // The controller repeats that many times in this time.
 const avoidFor = 700 * time.Millisecond
@@ -221,8 +215,6 @@
 
 // ServeHTTP handles one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, in *http.Request) {
-	g.active.Add(1)
-	defer g.active.Done()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,7 +25,8 @@
 	// lost. Callers leave after 2 s, and a group that lost a rank hangs for 1.5 s
 	// before it breaks its work off.
 	silenceLimit = 1800 * time.Millisecond
-	// tokensPerEvent converts the caller's estimate to work.
+	// defaultAnswerTokens stands for an answer of unknown length; the deployments'
+	// usual one has 97 tokens.
 	defaultAnswerTokens = 100
 )
 
