admission: foresee that more urgent requests will go first

Cause: in a flood that lasts, requests of the lower ranks were held for 1.2 s and then refused: their wait was estimated from the items ahead at that moment, not from the more urgent ones that come later, and a late item waits behind everything that can be on time.

Change: the queue averages arrivals by rank. What a rank waits is what is ahead of it over the places that more urgent arrivals leave, and once late over what all arrivals leave; each rank keeps its floor. Who would wait beyond the useful time is refused at once with that wait as Retry-After.

TestWaitForeseesUrgentArrivals fails before.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,7 +23,8 @@
 	floorEvery = 8
 	// usageHalfLife is the time in which an account's past use counts half.
 	usageHalfLife = 4 * time.Second
-	// rateHalfLife is the time over which the rate of places is averaged.
+	// rateHalfLife is the time over which the rates of places and of arrivals are
+	// averaged.
 	rateHalfLife = time.Second
 )
 
@@ -48,9 +49,29 @@
 	grants int
 	// byRank counts the recent grants of each rank.
 	byRank map[int]float64
-	// rate is the average number of grants a second while items wait.
-	rate     float64
-	lastRate time.Time
+	// granted is the rate of places, and arrived that of requests by rank.
+	granted rate
+	arrived map[int]*rate
+}
+
+// rate is an average number of events a second.
+type rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+func (r *rate) count(now time.Time) {
+	// With this weight the average settles at the number of events a second.
+	const perEvent = math.Ln2
+	r.perSecond = r.now(now) + perEvent/rateHalfLife.Seconds()
+	r.at = now
+}
+
+func (r *rate) now(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return decayed(r.perSecond, now.Sub(r.at), rateHalfLife)
 }
 
 type usage struct {
@@ -60,7 +81,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue[T any]() *Queue[T] {
-	return &Queue[T]{usage: map[fleet.ClientAccount]*usage{}, byRank: map[int]float64{}}
+	return &Queue[T]{usage: map[fleet.ClientAccount]*usage{}, byRank: map[int]float64{}, arrived: map[int]*rate{}}
 }
 
 // Len returns the number of waiting items.
@@ -81,13 +102,45 @@
 	return n
 }
 
-// Wait estimates how long a new item of a rank would wait; ok is false while
-// the rate of places is unknown.
-func (q *Queue[T]) Wait(urgency int, now time.Time) (wait time.Duration, ok bool) {
-	if q.rate <= 0 {
+// Arrived notes a request of a rank, whether it will wait or not.
+func (q *Queue[T]) Arrived(urgency int, now time.Time) {
+	r := q.arrived[urgency]
+	if r == nil {
+		r = &rate{}
+		q.arrived[urgency] = r
+	}
+	r.count(now)
+}
+
+// Wait estimates how long a new item of a rank would wait, which is late after
+// inTime; ok is false while the rate of places is unknown. Load pattern: a flood
+// that lasts. More urgent requests that come later go first too, and a late item
+// comes after all that can be on time, so that those who wait in vain are told at
+// once.
+func (q *Queue[T]) Wait(urgency int, inTime time.Duration, now time.Time) (wait time.Duration, ok bool) {
+	places := q.granted.perSecond
+	if places <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(q.Ahead(urgency, now)) / q.rate * float64(time.Second)), true
+	urgent, all := 0.0, 0.0
+	for rank, r := range q.arrived {
+		perSecond := r.now(now)
+		all += perSecond
+		if rank < urgency {
+			urgent += perSecond
+		}
+	}
+	wait = timeFor(q.Ahead(urgency, now), places-urgent, places)
+	if wait <= inTime {
+		return wait, true
+	}
+	return max(wait, timeFor(len(q.items), places-all, places)), true
+}
+
+// timeFor returns the time until n items have places at a rate, of which a rank
+// keeps its floor.
+func timeFor(n int, perSecond, places float64) time.Duration {
+	return time.Duration(float64(n) / max(perSecond, places/floorEvery) * float64(time.Second))
 }
 
 // Remove takes an item out, for a caller that left. It returns false if the
@@ -165,17 +218,7 @@
 	}
 	u.work = decayed(u.work, now.Sub(u.at), usageHalfLife) + i.Work
 	u.at = now
-	q.countRate(now)
-}
-
-func (q *Queue[T]) countRate(now time.Time) {
-	if !q.lastRate.IsZero() {
-		q.rate = decayed(q.rate, now.Sub(q.lastRate), rateHalfLife)
-	}
-	// With this weight the average settles at the number of grants a second.
-	const perGrant = 0.6931
-	q.rate += perGrant / rateHalfLife.Seconds()
-	q.lastRate = now
+	q.granted.count(now)
 }
 
 func (q *Queue[T]) used(a fleet.ClientAccount, now time.Time) float64 {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -110,7 +110,7 @@
 	is := is.New(t)
 	q := NewQueue[int]()
 	now := time.Unix(10, 0)
-	_, ok := q.Wait(0, now)
+	_, ok := q.Wait(0, time.Second, now)
 	is.True(!ok)
 	push := func(urgency int, onTime time.Duration) {
 		q.Push(&Item[int]{Urgency: urgency, Account: "a", OnTime: now.Add(onTime), Latest: now.Add(time.Minute)})
@@ -125,11 +125,40 @@
 		push(2, time.Second)
 		push(0, -time.Second)
 	}
-	wait, ok := q.Wait(0, now)
+	wait, ok := q.Wait(0, time.Second, now)
 	is.True(ok)
 	is.True(wait > 50*time.Millisecond && wait < 300*time.Millisecond)
 }
 
+// Guards against requests that wait in vain: in a flood of more urgent work, those
+// of the bottom rank were held for 1.2 s and then refused. The more urgent ones are
+// told their short wait.
+func TestWaitForeseesUrgentArrivals(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int]()
+	now := time.Unix(10, 0)
+	push := func(urgency int) {
+		q.Arrived(urgency, now)
+		q.Push(&Item[int]{Urgency: urgency, Account: "a", OnTime: now.Add(300 * time.Millisecond), Latest: now.Add(time.Second)})
+	}
+	// 100 places a second; 80 requests of the top rank and 60 of the bottom one.
+	for n := range 1000 {
+		if n%5 != 4 {
+			push(0)
+		}
+		if n%5 < 3 {
+			push(2)
+		}
+		q.Expired(now)
+		q.Pop(now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	top, _ := q.Wait(0, 300*time.Millisecond, now)
+	bottom, _ := q.Wait(2, 300*time.Millisecond, now)
+	is.True(top < 100*time.Millisecond)
+	is.True(bottom > time.Second)
+}
+
 // Guards against items that get a place after their caller left.
 func TestRemovedItemsGetNoPlace(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -212,9 +212,12 @@
 	}
 }
 
-// wait estimates the time in the queue for a new request.
-func (x *service) wait(urgency int) (time.Duration, bool) {
+// wait estimates the time in the queue for a new request that is late after
+// inTime.
+func (x *service) wait(urgency int, inTime time.Duration) (time.Duration, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.queue.Wait(urgency, time.Now())
+	now := time.Now()
+	x.queue.Arrived(urgency, now)
+	return x.queue.Wait(urgency, inTime, now)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -104,7 +104,7 @@
 		onTime = r.arrived.Add(max(goal-firstEventReserve, goal/8))
 		latest = earliest(r.deadline, r.arrived.Add(max(time.Duration(lateShare*float64(goal)), shortestLate)))
 	}
-	wait, known := x.wait(r.order())
+	wait, known := x.wait(r.order(), time.Until(onTime))
 	if known && r.arrived.Add(wait).After(latest) {
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "the wait would be about %s", wait.Round(time.Millisecond)).
 			WithRetryAfter(g.returnTime(r, wait))
