mapcontrol: take over a held group within a second

Cause: a controller that freezes between hold and go leaves its group held until another one ends the switch.

Change: a controller that told others about its groups and is silent for 0.4 s is left out of the choice at once. Agents look for another one after 0.5 s, and report how long their rank has been armed or held, so that a new controller knows that the lease (now 0.5 s) has ended. It asks the agents, whose reports are not late, and waits for the engines' only without one of them.

Tests: TestSilentControllerIsLeftOut, TestAgentTellsHowLongItsRankIsHeld, TestResolveAsksTheAgentsFirst.

--- a/internal/mapcontrol/change.go
+++ b/internal/mapcontrol/change.go
@@ -37,7 +37,7 @@
 		c.Recorder.Record("switch_unresolved", "", events.F("group", g.name), events.F("engines", len(engines)), events.F("size", g.size))
 		return
 	}
-	found, err := rankagent.Resolve(ctx, engines)
+	found, err := rankagent.Resolve(ctx, engines, c.reporters(g))
 	c.Metrics.Counter("switches_resolved").Inc(1)
 	c.Recorder.Record("switch_resolved", "", events.F("group", g.name), events.F("found", found), events.F("error", errorText(err)))
 }
@@ -111,12 +111,29 @@
 	if !all {
 		return 0, errors.New("not all engines are known")
 	}
-	reporters := make([]rankagent.Reporter, len(agents))
+	lead := int(version) % len(engines)
+	return rankagent.Switch(ctx, engines, reporters(agents), lead, epoch, version)
+}
+
+func reporters(agents []string) []rankagent.Reporter {
+	out := make([]rankagent.Reporter, len(agents))
 	for rank, address := range agents {
-		reporters[rank] = rankagent.NewClient(address)
+		out[rank] = rankagent.NewClient(address)
 	}
-	lead := int(version) % len(engines)
-	return rankagent.Switch(ctx, engines, reporters, lead, epoch, version)
+	return out
+}
+
+// reporters returns clients of the agents of all ranks that are known.
+func (c *Controller) reporters(g *group) []rankagent.Reporter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var agents []string
+	for i := range g.size {
+		if r := g.ranks[i]; r != nil {
+			agents = append(agents, r.Agent)
+		}
+	}
+	return reporters(agents)
 }
 
 func forAll(agents []string, f func(rank int, agent string) error) error {
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -19,10 +19,9 @@
 	roundInterval = 50 * time.Millisecond
 	// reportLifetime is how long a rank's report counts.
 	reportLifetime = 700 * time.Millisecond
-	// heldTooLong is how long a rank may be held before the controller ends the
-	// switch that holds it. An undisturbed switch takes a few milliseconds beyond
-	// the pass it waits for.
-	heldTooLong = 600 * time.Millisecond
+	// heldTooLong is how long a rank may be armed or held before the controller ends
+	// the switch: the lease of its lead has ended, and its last order has arrived.
+	heldTooLong = rankagent.SwitchLease + 100*time.Millisecond
 	// silentAfter is the time without a report after which a rank gets no new
 	// requests. Agents report every 60 ms in small groups and every 250 ms in large
 	// ones.
@@ -32,8 +31,8 @@
 	// retryPause is the pause after a failed change.
 	retryPause = 300 * time.Millisecond
 	// agentInterval is the time between two messages to agents. They look for
-	// another controller after 0.9 s.
-	agentInterval = 250 * time.Millisecond
+	// another controller after 0.5 s.
+	agentInterval = 200 * time.Millisecond
 	// gatewaysInWelcome bounds the gateways in a message to an agent.
 	gatewaysInWelcome = 20
 	// tellInterval is the time between two messages about a group.
@@ -226,13 +225,17 @@
 func (c *Controller) heldTooLong(g *group, now time.Time) bool {
 	held := false
 	for _, r := range g.ranks {
-		held = held || (r.Epoch == g.epoch && now.Sub(r.at) < reportLifetime && (r.Held != 0 || r.Armed != 0))
+		if r.Epoch != g.epoch || now.Sub(r.at) >= reportLifetime || (r.Held == 0 && r.Armed == 0) {
+			continue
+		}
+		held = true
+		since := r.at.Add(-time.Duration(r.OpenMS) * time.Millisecond)
+		if g.heldSince.IsZero() || since.Before(g.heldSince) {
+			g.heldSince = since
+		}
 	}
-	switch {
-	case !held:
+	if !held {
 		g.heldSince = time.Time{}
-	case g.heldSince.IsZero():
-		g.heldSince = now
 	}
 	return held && now.Sub(g.heldSince) > heldTooLong
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -254,6 +254,7 @@
 	case *peers.Picks:
 		p.control.Picks(m)
 	case *peers.Group:
+		p.members.Told(m.Controller)
 		p.applyGroup(m)
 	}
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -17,6 +17,10 @@
 	aliveFor = 1300 * time.Millisecond
 	// forgetAfter is when a lost gateway is no longer called.
 	forgetAfter = 30 * time.Second
+	// controllerSilent is the time without a message about a group after which a
+	// controller that sent some counts as lost: it sends one every 100 ms, and a
+	// group that it holds stands still.
+	controllerSilent = 400 * time.Millisecond
 	// settleTime is the time after the start in which other gateways may be
 	// unknown.
 	settleTime = 4 * time.Second
@@ -40,6 +44,8 @@
 	Peer
 	// heard is zero for an address that never answered.
 	heard time.Time
+	// told is when it last sent a message about a group, as their controller.
+	told  time.Time
 	added time.Time
 	alive bool
 }
@@ -146,15 +152,38 @@
 	return len(m.Alive()), m.now().Sub(m.started) >= settleTime
 }
 
+// Told notes that a gateway sent a message about a group, as their controller.
+func (m *Members) Told(control string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if x := m.peers[control]; x != nil {
+		x.told = m.now()
+	}
+}
+
+// silentController reports whether a gateway has controlled groups and does not any
+// more.
+func (m *Members) silentController(control string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x := m.peers[control]
+	return x != nil && !x.told.IsZero() && m.now().Sub(x.told) > controllerSilent
+}
+
 // Controller returns the gateway that controls the groups: of those with the
 // largest processor the one that has run longest, so that a restart does not move
-// the control. Two gateways that don't hear each other may both be controllers;
-// the protocol of a switch keeps that safe.
+// the control. One that controlled them and fell silent is left out. Two gateways
+// that don't hear each other may both be controllers; the protocol of a switch
+// keeps that safe.
 func (m *Members) Controller() Peer {
+	self := m.self()
 	alive := m.Alive()
-	best := alive[0]
+	var best Peer
 	for _, p := range alive {
-		if (p.Serving && !best.Serving) || (p.Serving == best.Serving && p.Processor > best.Processor) {
+		if p.Control != self.Control && m.silentController(p.Control) {
+			continue
+		}
+		if best.Control == "" || (p.Serving && !best.Serving) || (p.Serving == best.Serving && p.Processor > best.Processor) {
 			best = p
 		}
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -86,6 +86,8 @@
 	Pace float64 `cbor:"15,keyasint"`
 	// Born is the Unix millisecond of the engine's start.
 	Born int64 `cbor:"16,keyasint"`
+	// OpenMS is how long the agent has seen the rank armed or held, in milliseconds.
+	OpenMS int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // Picks tells how often the requests of a rank chose experts since the agent's
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -81,6 +81,25 @@
 	is.True(settled)
 }
 
+// Guards against a group that stays held for as long as the list of gateways names
+// a controller that froze: one that told the others about its groups and fell
+// silent is left out at once, and is the controller again when it is back.
+func TestSilentControllerIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	v := newView(peer("b", 3, 0.4))
+	v.Heard(&Hello{From: peer("a", 1, 0.4)})
+	v.now = v.now.Add(2 * HelloInterval)
+	is.Equal(v.Controller().Name, "a") // it has no groups yet
+	v.Told("a:1")
+	v.now = v.now.Add(controllerSilent)
+	is.Equal(v.Controller().Name, "a")
+	v.now = v.now.Add(50 * time.Millisecond)
+	is.Equal(v.Controller().Name, "b")
+	is.Equal(len(v.Alive()), 2) // callers may still use it
+	v.Told("a:1")
+	is.Equal(v.Controller().Name, "a")
+}
+
 // Guards against messages that are read as something else, or stop a receiver.
 func TestMessagesSurviveTheWire(t *testing.T) {
 	is := is.New(t)
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -19,7 +19,7 @@
 	reportsPerSecond = 2500
 	// controllerLostAfter is the time without a word from the controller after
 	// which an agent asks for another one.
-	controllerLostAfter = 900 * time.Millisecond
+	controllerLostAfter = 500 * time.Millisecond
 )
 
 // Config is what an Agent works with.
@@ -49,6 +49,8 @@
 	// unsent is what the units of the messages so far have left out.
 	unsent []uint64
 	failed bool
+	// openSince is when the rank was first seen armed or held.
+	openSince time.Time
 }
 
 // New returns an agent; Run starts it.
@@ -83,10 +85,24 @@
 		a.Recorder.Record("engine_regained", "", events.F("epoch", report.Epoch))
 	}
 	report.Agent = a.Address
+	report.OpenMS = a.openFor(&report).Milliseconds()
 	a.Send(controller, &report)
 	return (1 + a.sendPicks(ctx, controller, &report)) * report.Size
 }
 
+// openFor returns how long the rank has been armed or held. It tells a controller
+// that took over when the lease of the former one has ended.
+func (a *Agent) openFor(r *peers.Report) time.Duration {
+	if r.Armed == 0 && r.Held == 0 {
+		a.openSince = time.Time{}
+		return 0
+	}
+	if a.openSince.IsZero() {
+		a.openSince = time.Now()
+	}
+	return time.Since(a.openSince)
+}
+
 // askedPerSecond stands for the number of messages in a round without a report.
 const askedPerSecond = reportsPerSecond / 4
 
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -20,9 +20,9 @@
 	// holdTries bounds the passes for which a switch is tried.
 	holdTries = 4
 	// SwitchLease is how long the lead of a switch may send orders. An undisturbed
-	// switch takes less than 100 ms; after this time the controller may end the
-	// switch in the lead's place.
-	SwitchLease = 600 * time.Millisecond
+	// switch takes less than 100 ms; after this time another controller may end the
+	// switch in the lead's place. Until then the group may be held.
+	SwitchLease = 500 * time.Millisecond
 	// reportLag is the age of what an engine tells other machines: 200 ms by the
 	// deployments' figures, with room for one more update.
 	reportLag = 400 * time.Millisecond
@@ -80,16 +80,13 @@
 }
 
 // Resolve ends a switch that was left open by its lead, which may have held the
-// group and armed any of the ranks. engines has all ranks of the group in any
-// order. It reports what it found.
-func Resolve(ctx context.Context, engines []Engine) (found string, err error) {
+// group and armed any of the ranks. engines has the ranks of the group, and agents
+// what answers for the machine of each, in the same order. It reports what it
+// found.
+func Resolve(ctx context.Context, engines []Engine, agents []Reporter) (found string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
-	// The engines' reports must be later than the lead's last order.
-	if !pause(ctx, reportLag) {
-		return "", ctx.Err()
-	}
-	states, err := reports(ctx, engines)
+	states, err := latest(ctx, engines, agents)
 	if err != nil {
 		return "", err
 	}
@@ -114,6 +111,24 @@
 	return "held and armed", finish(ctx, engines, lead, epoch, version, step)
 }
 
+// latest returns the states of all ranks after the lead's last order. Agents read
+// them at once; without one of them, the engines are asked, and what an engine tells
+// other machines must first be later than that order.
+func latest(ctx context.Context, engines []Engine, agents []Reporter) ([]peers.Report, error) {
+	if len(agents) == len(engines) {
+		quick, cancel := context.WithTimeout(ctx, answerWithin)
+		states, err := reports(quick, agents)
+		cancel()
+		if err == nil {
+			return states, nil
+		}
+	}
+	if !pause(ctx, reportLag) {
+		return nil, ctx.Err()
+	}
+	return reports(ctx, engines)
+}
+
 // finish arms all ranks for a pass that lead holds, and lets it begin. If a rank
 // can't be armed, it disarms all others first.
 func finish(ctx context.Context, engines []Engine, lead int, epoch, version, step int64) error {
--- a/internal/rankagent/switch_test.go
+++ b/internal/rankagent/switch_test.go
@@ -39,7 +39,7 @@
 				g.prepare(version)
 				_, err := Switch(context.Background(), g.engines(), g.reporters(), int(version)%8, 1, version)
 				if err != nil {
-					_, err := Resolve(context.Background(), g.engines())
+					_, err := Resolve(context.Background(), g.engines(), nil)
 					is.NoErr(err)
 				}
 				time.Sleep(10 * pass)
@@ -47,7 +47,7 @@
 				is.Equal(mixed, int64(0)) // pass with different maps
 			}
 			// A late hold may have come after the last switch.
-			_, err := Resolve(context.Background(), g.engines())
+			_, err := Resolve(context.Background(), g.engines(), nil)
 			is.NoErr(err)
 		})
 	}
@@ -109,7 +109,7 @@
 			}
 			_, err := Switch(ctx, engines, g.reporters(), 2, 1, 1)
 			is.True((err == nil) == (orders >= ranks+2)) // hold, arms, go
-			found, err := Resolve(context.Background(), g.engines())
+			found, err := Resolve(context.Background(), g.engines(), nil)
 			is.NoErr(err)
 			time.Sleep(10 * pass)
 			mixed, held, current := g.state()
@@ -125,6 +125,55 @@
 	}
 }
 
+// Guards against a group that stays held longer than it has to: agents tell the
+// state of their ranks at once, and only without one of them are the late reports
+// of the engines waited for.
+func TestResolveAsksTheAgentsFirst(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			is := is.New(t)
+			g := newFakeGroup(3, 1, 0)
+			startGroup(t, g)
+			g.prepare(1)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var left atomic.Int64
+			left.Store(3)
+			engines := g.engines()
+			for i, e := range engines {
+				engines[i] = stopAfter{Engine: e, left: &left, stop: cancel}
+			}
+			_, err := Switch(ctx, engines, g.reporters(), 0, 1, 1)
+			is.True(err != nil)
+			agents := g.reporters()
+			if silent {
+				agents = agents[:2]
+			}
+			began := time.Now()
+			found, err := Resolve(context.Background(), g.engines(), agents)
+			is.NoErr(err)
+			is.Equal(found, "held and armed")
+			is.Equal(time.Since(began) < reportLag, !silent)
+			time.Sleep(10 * pass)
+			mixed, held, _ := g.state()
+			is.Equal(mixed, int64(0))
+			is.True(!held)
+		})
+	}
+}
+
+// Guards against an agent that tells a new controller nothing about a switch that
+// another one left open, which would then be waited for again.
+func TestAgentTellsHowLongItsRankIsHeld(t *testing.T) {
+	is := is.New(t)
+	a := New(Config{})
+	is.Equal(a.openFor(&peers.Report{Step: 3}), time.Duration(0))
+	a.openFor(&peers.Report{Step: 3, Held: 4})
+	time.Sleep(20 * time.Millisecond)
+	is.True(a.openFor(&peers.Report{Step: 3, Held: 4, Armed: 2}) >= 20*time.Millisecond)
+	is.Equal(a.openFor(&peers.Report{Step: 4}), time.Duration(0))
+}
+
 // Guards against a hold while a rank does not answer: the group was held for 4 s
 // when a side machine froze between the copies and the switch.
 func TestNoHoldWhileARankIsSilent(t *testing.T) {
