balance, mapcontrol: share the places after a loss of power too

Cause: after all machines lost power, 650 callers came back in a second, before the first reports.

Change: without reports a gateway takes its part of all places, and one at least. The first limit of a gateway is half of the slots, the first of a controller is for 2.8.

TestWithoutReportsPlacesAreSharedToo fails before.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -174,7 +174,7 @@
 	if now.Sub(p.drawn) > reportAge {
 		p.rounding, p.drawn = rand.Float64(), now
 	}
-	free, reported := 0.0, false
+	free, places, own, reported := 0.0, 0.0, 0, false
 	for _, b := range p.backends {
 		load := b.load(now, p.senders())
 		if b.hasReport(now) {
@@ -182,11 +182,16 @@
 		}
 		if b.usable(now) {
 			free += limit - float64(load)
+			places += limit
+			own += b.running
 		}
 	}
-	// Without any report, load has estimated the other processes' requests from
-	// this one's already.
-	return !reported || float64(len(p.sent)+1) <= free/float64(p.senders())+p.rounding
+	if !reported {
+		// The others are taken to have as much as this one, which gets one place at
+		// least.
+		return float64(own+1) <= max(places/float64(p.senders())+p.rounding, 1)
+	}
+	return float64(len(p.sent)+1) <= free/float64(p.senders())+p.rounding
 }
 
 // least returns the server with the least load of some that are drawn, or nil.
--- a/internal/balance/pool_test.go
+++ b/internal/balance/pool_test.go
@@ -86,6 +86,24 @@
 	}
 }
 
+// Guards against a flood after a loss of power: callers come back before the first
+// reports, and each gateway sent one request to every server that it knew, 35 to a
+// server that runs 10.
+func TestWithoutReportsPlacesAreSharedToo(t *testing.T) {
+	is := is.New(t)
+	const gateways, servers, limit = 35, 72, 5
+	taken := 0
+	for range gateways {
+		p, _, _ := newPool(servers)
+		p.SetGateways(1, false) // it knows no other gateway yet
+		for p.Acquire(Constraint{Limit: limit}) != nil {
+			taken++
+		}
+	}
+	is.True(taken <= servers*(limit+1))
+	is.True(taken >= servers*limit/2)
+}
+
 // Guards against places that nobody takes: what a gateway leaves free is shared
 // anew with each report, and what it has sent counts until reports have it.
 func TestFreePlacesAreTakenInTime(t *testing.T) {
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -134,13 +134,16 @@
 	}
 }
 
-// initLimit gives a model service the engine's own number of slots until the
-// controller of its group says something else.
+// firstLimitShare is the part of an engine's slots that is used until the controller
+// of its group says how many requests its ranks may run.
+const firstLimitShare = 0.5
+
+// initLimit sets the limit of a model service that no controller has set yet.
 func (x *service) initLimit(d *deployment.Service) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if d.Engine != nil && x.limit == 0 {
-		x.limit = max(float64(d.Engine.Slots)*2/3, 1)
+		x.limit = max(float64(d.Engine.Slots)*firstLimitShare, 1)
 	}
 }
 
--- a/internal/mapcontrol/limit.go
+++ b/internal/mapcontrol/limit.go
@@ -29,8 +29,9 @@
 	// longestPass bounds a measured pass; passes of working groups take less than
 	// 0.2 s.
 	longestPass = 250 * time.Millisecond
-	// firstPeak is the unevenness that is assumed until a shift was seen.
-	firstPeak = 2.2
+	// firstPeak is the unevenness that is assumed until a shift was seen: that of
+	// the map with which an epoch begins, 2.7 to 2.8 on the grown sites.
+	firstPeak = 2.8
 	// minLimit keeps a rank at work whatever the measurements say.
 	minLimit = 3.0
 )
