gateway: measure the time that servers take for the first event

Cause: a request counts as on time until 180 ms before its goal.

Change: the reserve is 1.25 times the average that was measured at this gateway, half of the goal at most. The line of an ended stream says how long it waited.

--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -41,6 +41,7 @@
 	// when one of them got an event or the first of them began.
 	streams   atomic.Int64
 	lastEvent atomic.Int64
+	reserve   reserve
 }
 
 const (
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// firstEventReserve is the part of a route's goal that reading the prompt and
-	// the first pass take at a server that has a place.
-	firstEventReserve = 180 * time.Millisecond
 	// lateShare is the number of goals for which a request may wait for a place,
 	// and shortestLate the least time. Callers leave after four goals without an
 	// event, or 2 s; the rest is for the first event.
@@ -45,9 +42,11 @@
 	last   int64
 	events int
 	lastAt time.Time
-	// first is the time from the request to its first event, maxGap the longest
-	// time between two events.
-	first, maxGap time.Duration
+	// sentAt is when the request was sent to the server that serves it. waited is the
+	// time until it had its first place, first that to its first event, and maxGap
+	// the longest time between two events.
+	sentAt                time.Time
+	waited, first, maxGap time.Duration
 }
 
 // serveStream forwards a streaming request.
@@ -59,7 +58,7 @@
 		g.refuse(w, r, refusal)
 		return
 	}
-	s := &stream{g: g, w: w, r: r, x: x, last: r.LastEvent}
+	s := &stream{g: g, w: w, r: r, x: x, last: r.LastEvent, waited: time.Since(r.arrived)}
 	for {
 		out := s.run(ctx, p)
 		if out.err == nil {
@@ -101,7 +100,7 @@
 func (g *Gateway) firstPlace(ctx context.Context, x *service, r *request) (*place, *verdict.Error) {
 	onTime, latest := r.deadline, r.deadline
 	if goal := r.route.Goal; goal > 0 {
-		onTime = r.arrived.Add(max(goal-firstEventReserve, goal/8))
+		onTime = r.arrived.Add(goal - x.reserve.of(goal))
 		latest = earliest(r.deadline, r.arrived.Add(max(time.Duration(lateShare*float64(goal)), shortestLate)))
 	}
 	wait, known := x.wait(r.order(), time.Until(onTime))
@@ -147,6 +146,7 @@
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	s.sentAt = time.Now()
 	out := s.g.send(ctx, s.r, p, s.last)
 	if out.verdict != verdict.NotRun {
 		s.r.runs++
@@ -219,6 +219,7 @@
 	if s.events == 0 {
 		s.first = now.Sub(s.r.arrived)
 		s.g.Metrics.FirstEvent.RecordDuration(s.first)
+		s.x.reserve.took(now.Sub(s.sentAt))
 	} else {
 		gap := now.Sub(s.lastAt)
 		s.maxGap = max(s.maxGap, gap)
@@ -262,7 +263,7 @@
 	if s.events == 0 {
 		return ""
 	}
-	return "events=" + itoa(s.events) + " first_ms=" + itoa(int(s.first.Milliseconds())) + " max_gap_ms=" + itoa(int(s.maxGap.Milliseconds()))
+	return "events=" + itoa(s.events) + " waited_ms=" + itoa(int(s.waited.Milliseconds())) + " first_ms=" + itoa(int(s.first.Milliseconds())) + " max_gap_ms=" + itoa(int(s.maxGap.Milliseconds()))
 }
 
 // broken ends a stream that could not be completed. A caller that has a part of
