mapcontrol: expect the second most uneven of five shifts

Change: the expected unevenness is the second largest of the last five.

TestOneMildShiftDoesNotRaiseTheLimit fails before.

--- a/internal/mapcontrol/limit.go
+++ b/internal/mapcontrol/limit.go
@@ -1,6 +1,7 @@
 package mapcontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
@@ -19,10 +20,11 @@
 	// shift may take by the engine's own figures. At 5.8 requests a rank and an
 	// unevenness of 2.5 (0.96) no stream of the grown site had a longer pause.
 	modelShare = 1
-	// peakRise and peakFall are the weights of a shift that made passes longer, or
-	// less long, than expected. An average would let every second shift break the
-	// allowed pause of all requests that run.
-	peakRise, peakFall = 0.6, 0.3
+	// recentShifts is the number of shifts that the expected unevenness is taken
+	// from: the second largest of them. An average would let every second shift break
+	// the allowed pause of all requests that run, and what looks like a mild shift
+	// after a freeze of the controller brought it from 2.5 down to 2.0.
+	recentShifts = 5
 	// feedbackFloor is the part of the modelled number down to which the measured
 	// time of a pass may lower the limit.
 	feedbackFloor = 0.75
@@ -47,18 +49,18 @@
 	// uneven is the time of a pass with the map in force, relative to an even
 	// group; peak is what shifts of demand usually raise it to.
 	uneven, peak float64
+	shifts       []float64
 }
 
 // shifted takes the unevenness that a shift of demand has brought.
 func (l *limiter) shifted(uneven float64) {
-	if l.peak == 0 {
-		l.peak = uneven
-	}
-	weight := peakFall
-	if uneven > l.peak {
-		weight = peakRise
+	l.shifts = append(l.shifts, uneven)
+	l.shifts = l.shifts[max(len(l.shifts)-recentShifts, 0):]
+	sorted := slices.Sorted(slices.Values(l.shifts))
+	l.peak = sorted[max(len(sorted)-2, 0)]
+	if len(sorted) < recentShifts {
+		l.peak = sorted[len(sorted)-1]
 	}
-	l.peak += weight * (uneven - l.peak)
 }
 
 // measure takes the last pass that was begun.
--- a/internal/mapcontrol/limit_test.go
+++ b/internal/mapcontrol/limit_test.go
@@ -100,6 +100,24 @@
 	is.True(4*kept >= 3*all)
 }
 
+// Guards against a limit that goes up after what only looks like a mild shift: on
+// trouble-2 of the grown site it went from 5.5 to 8 requests a rank.
+func TestOneMildShiftDoesNotRaiseTheLimit(t *testing.T) {
+	is := is.New(t)
+	gap := 150 * time.Millisecond
+	l := limiter{uneven: 1.1}
+	for range 3 {
+		l.shifted(2.5)
+	}
+	before := l.decide(&large.engine, 5, gap)
+	l.shifted(1.12)
+	is.True(l.decide(&large.engine, 5, gap) <= before)
+	for range 2 * recentShifts {
+		l.shifted(1.12)
+	}
+	is.True(l.decide(&large.engine, 5, gap) > before) // demand has become even
+}
+
 // Guards against a limit that leaves the reading of prompts out: each request
 // that runs is followed by another whose prompt is read in the same passes.
 func TestLimitCountsTheReadingOfPrompts(t *testing.T) {
