integration: slow ranks in the soak

The stand-in's ranks can be slow: their own requests make every pass longer. The soak slows one at random and counts the streams that went on elsewhere.

--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -225,7 +225,13 @@
 	for _, a := range attempts {
 		counts[a.Outcome]++
 	}
-	t.Logf("%d attempts: %d complete, %d refused, %d denied, %d failed, %d broken, %d unreachable; %d runs", len(attempts),
+	resumed := 0
+	for _, r := range f.record.Runs() {
+		if r.LastEvent != "" {
+			resumed++
+		}
+	}
+	t.Logf("%d attempts: %d complete, %d refused, %d denied, %d failed, %d broken, %d unreachable; %d runs, %d of streams that went on", len(attempts),
 		counts[platformtest.Complete], counts[platformtest.NotRun], counts[platformtest.Denied], counts[platformtest.Failed],
-		counts[platformtest.Broken], counts[platformtest.Unreachable], len(f.record.Runs()))
+		counts[platformtest.Broken], counts[platformtest.Unreachable], len(f.record.Runs()), resumed)
 }
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -65,7 +65,7 @@
 func (x *faults) run(length time.Duration) {
 	kinds := []func(){
 		x.freeze, x.freeze, x.kill, x.kill, x.terminate, x.hangUp, x.killAll, x.crashEngine, x.crashPlain, x.storeOutage, x.storeOutage,
-		x.cutStore, x.compact, x.backendProxy, x.backendProxy, x.callerProxy, x.loseOrders, x.shiftDemand, x.loseAnswers,
+		x.cutStore, x.compact, x.backendProxy, x.backendProxy, x.callerProxy, x.loseOrders, x.shiftDemand, x.loseAnswers, x.slowRank,
 		x.addRoute, x.revoke, x.replacePlain, x.foreignEntry,
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); {
@@ -207,6 +207,11 @@
 	}, func() { x.f.group.LoseOrder.Set(0) })
 }
 
+func (x *faults) slowRank() {
+	e := x.f.group.Ranks[x.random.IntN(ranks)]
+	x.hold("pace "+e.ID, "slow", x.between(500*time.Millisecond, 3*time.Second), func() { e.SetPace(8) }, func() { e.SetPace(1) })
+}
+
 func (x *faults) shiftDemand() { x.f.group.Shift() }
 
 func (x *faults) loseAnswers() {
