mapcontrol: switch some passes later while orders get lost

Ruled out: a shorter time for an answer; 72 orders at once take a small machine 30 ms.

Change: when an order got no answer in the last 8 s, switches take place in the third pass after the running one in place of the next, so that orders can be sent again before it.

TestLostOrdersMoveSwitchesAhead, TestSwitchTakesPlaceAhead.

--- a/internal/mapcontrol/change.go
+++ b/internal/mapcontrol/change.go
@@ -112,7 +112,31 @@
 		return 0, errors.New("not all engines are known")
 	}
 	lead := int(version) % len(engines)
-	return rankagent.Switch(ctx, engines, reporters(agents), lead, epoch, version)
+	ahead := int64(rankagent.NextPass)
+	if c.ordersLost() {
+		ahead = rankagent.LaterPass
+	}
+	return rankagent.Switch(ctx, engines, reporters(agents), rankagent.Change{Epoch: epoch, Version: version, Lead: lead, Ahead: ahead})
+}
+
+// watchedEngine tells when an order gets no answer.
+type watchedEngine struct {
+	rankagent.Engine
+	lost func()
+}
+
+func (e watchedEngine) Order(ctx context.Context, o rankagent.Order) (rankagent.Outcome, error) {
+	outcome, err := e.Engine.Order(ctx, o)
+	if outcome == rankagent.Unanswered {
+		e.lost()
+	}
+	return outcome, err
+}
+
+// ordersLost reports whether an order got no answer lately.
+func (c *Controller) ordersLost() bool {
+	at := c.lostAt.Load()
+	return at != 0 && time.Since(time.Unix(0, at)) < lossMemory
 }
 
 func reporters(agents []string) []rankagent.Reporter {
--- /dev/null
+++ b/internal/mapcontrol/change_test.go
@@ -0,0 +1,39 @@
+package mapcontrol
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/rankagent"
+)
+
+// orders is an engine that answers orders with an outcome.
+type orders struct {
+	rankagent.Engine
+	outcome rankagent.Outcome
+}
+
+func (o orders) Order(context.Context, rankagent.Order) (rankagent.Outcome, error) {
+	return o.outcome, errors.New("outcome of the test")
+}
+
+// Guards against groups that stand still while a lost order is sent again: with one
+// order in ten lost, the streams of scale-1 had long pauses at each switch. A refusal
+// is an answer.
+func TestLostOrdersMoveSwitchesAhead(t *testing.T) {
+	is := is.New(t)
+	c := New(Config{})
+	lost := func() { c.lostAt.Store(time.Now().UnixNano()) }
+	for _, o := range []rankagent.Outcome{rankagent.Begun, rankagent.Done, rankagent.Conflict} {
+		_, _ = watchedEngine{Engine: orders{outcome: o}, lost: lost}.Order(context.Background(), rankagent.Order{})
+		is.True(!c.ordersLost())
+	}
+	_, _ = watchedEngine{Engine: orders{outcome: rankagent.Unanswered}, lost: lost}.Order(context.Background(), rankagent.Order{})
+	is.True(c.ordersLost())
+	c.lostAt.Store(time.Now().Add(-lossMemory).UnixNano())
+	is.True(!c.ordersLost())
+}
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -36,6 +37,9 @@
 	// shifts. A plan takes 30 ms of a gateway with 72 ranks, in which no report is
 	// taken.
 	planPause = 250 * time.Millisecond
+	// lossMemory is how long a lost order makes the controller switch maps some passes
+	// later. Engines lose them for seconds.
+	lossMemory = 8 * time.Second
 	// retryPause is the pause after a failed change.
 	retryPause = 300 * time.Millisecond
 	// agentInterval is the time between two messages to agents. They look for
@@ -71,6 +75,9 @@
 type Controller struct {
 	Config
 
+	// lostAt is when an order got no answer, in Unix nanoseconds.
+	lostAt atomic.Int64
+
 	mu     sync.Mutex
 	groups map[string]*group
 	was    bool
--- a/internal/mapcontrol/group.go
+++ b/internal/mapcontrol/group.go
@@ -113,7 +113,8 @@
 	var out []rankagent.Engine
 	for i := range g.size {
 		if r := g.ranks[i]; r != nil && r.Epoch == g.epoch {
-			out = append(out, c.Engine(r.Engine))
+			lost := func() { c.lostAt.Store(time.Now().UnixNano()) }
+			out = append(out, watchedEngine{Engine: c.Engine(r.Engine), lost: lost})
 		}
 	}
 	return out, len(out) == g.size && g.size > 0
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// switchLead is how many passes after the running one a switch takes place. A
-	// hold arrives within a millisecond and a pass takes 40 ms or more, so that the
-	// next pass is rarely missed.
-	switchLead = 1
+	// NextPass and LaterPass are how many passes after the running one a switch takes
+	// place. A hold arrives within a millisecond and a pass takes 40 ms or more, so
+	// that the next pass is rarely missed. While orders get lost a later one leaves
+	// time to send them again before the group stops.
+	NextPass  = 1
+	LaterPass = 3
 	// orderPause is the pause before an order is sent again.
 	orderPause = 15 * time.Millisecond
 	// holdTries bounds the passes for which a switch is tried.
@@ -42,20 +44,29 @@
 var errEpoch = errors.New("the group began a new epoch")
 
 // Switch changes the map of a group to a version that all its ranks have
-// prepared. The rank lead holds the group before a pass until every rank is
+// prepared. The rank c.Lead holds the group before a pass until every rank is
 // armed for that pass, so that all ranks change with the same pass. engines has
 // the ranks in order, and agents what answers for the machine of each.
-func Switch(ctx context.Context, engines []Engine, agents []Reporter, lead int, epoch, version int64) (step int64, err error) {
+func Switch(ctx context.Context, engines []Engine, agents []Reporter, c Change) (step int64, err error) {
 	ctx, cancel := withLease(ctx, SwitchLease)
 	defer cancel()
-	if err := allPrepared(ctx, agents, epoch, version); err != nil {
+	if err := allPrepared(ctx, agents, c.Epoch, c.Version); err != nil {
 		return 0, err
 	}
-	step, err = hold(ctx, engines[lead], agents[lead], epoch)
+	step, err = hold(ctx, engines[c.Lead], agents[c.Lead], c)
 	if err != nil {
 		return 0, err
 	}
-	return step, finish(ctx, engines, lead, epoch, version, step)
+	return step, finish(ctx, engines, c.Lead, c.Epoch, c.Version, step)
+}
+
+// Change is a switch of a group to a version of its map.
+type Change struct {
+	Epoch, Version int64
+	// Lead is the rank that is held.
+	Lead int
+	// Ahead is how many passes after the running one the switch takes place.
+	Ahead int64
 }
 
 // allPrepared returns an error unless every rank answers now and is ready for the
@@ -168,22 +179,22 @@
 // hold stops the group before a pass that has not begun, and returns the pass.
 // The last pass that has begun is read at the engine's own machine: what an
 // engine tells other machines is some hundred milliseconds old.
-func hold(ctx context.Context, e Engine, agent Reporter, epoch int64) (int64, error) {
+func hold(ctx context.Context, e Engine, agent Reporter, c Change) (int64, error) {
 	var last error
 	for range holdTries {
 		state, err := agent.Report(ctx)
 		if err != nil {
 			return 0, err
 		}
-		if state.Epoch != epoch {
+		if state.Epoch != c.Epoch {
 			return 0, errEpoch
 		}
 		if state.Held != 0 {
 			return 0, fmt.Errorf("the rank is held before pass %d already", state.Held)
 		}
-		step := state.Step + switchLead
+		step := state.Step + c.Ahead
 		held := func(s peers.Report) bool { return s.Held == step }
-		last = settle(ctx, e, Order{Operation: Hold, Epoch: epoch, Step: step}, held)
+		last = settle(ctx, e, Order{Operation: Hold, Epoch: c.Epoch, Step: step}, held)
 		if last == nil {
 			return step, nil
 		}
--- a/internal/rankagent/switch_test.go
+++ b/internal/rankagent/switch_test.go
@@ -37,7 +37,7 @@
 			startGroup(t, g)
 			for version := int64(1); version <= 6; version++ {
 				g.prepare(version)
-				_, err := Switch(context.Background(), g.engines(), g.reporters(), int(version)%8, 1, version)
+				_, err := Switch(context.Background(), g.engines(), g.reporters(), Change{Epoch: 1, Version: version, Lead: int(version) % 8, Ahead: NextPass})
 				if err != nil {
 					_, err := Resolve(context.Background(), g.engines(), nil)
 					is.NoErr(err)
@@ -107,7 +107,7 @@
 			for i, e := range engines {
 				engines[i] = stopAfter{Engine: e, left: &left, stop: cancel}
 			}
-			_, err := Switch(ctx, engines, g.reporters(), 2, 1, 1)
+			_, err := Switch(ctx, engines, g.reporters(), Change{Epoch: 1, Version: 1, Lead: 2, Ahead: NextPass})
 			is.True((err == nil) == (orders >= ranks+2)) // hold, arms, go
 			found, err := Resolve(context.Background(), g.engines(), nil)
 			is.NoErr(err)
@@ -143,7 +143,7 @@
 			for i, e := range engines {
 				engines[i] = stopAfter{Engine: e, left: &left, stop: cancel}
 			}
-			_, err := Switch(ctx, engines, g.reporters(), 0, 1, 1)
+			_, err := Switch(ctx, engines, g.reporters(), Change{Epoch: 1, Version: 1, Lead: 0, Ahead: NextPass})
 			is.True(err != nil)
 			agents := g.reporters()
 			if silent {
@@ -174,6 +174,27 @@
 	is.Equal(a.openFor(&peers.Report{Step: 4}), time.Duration(0))
 }
 
+// Guards against a switch that leaves no time for orders that get lost.
+func TestSwitchTakesPlaceAhead(t *testing.T) {
+	for _, ahead := range []int64{NextPass, LaterPass} {
+		t.Run(fmt.Sprintf("ahead=%d", ahead), func(t *testing.T) {
+			is := is.New(t)
+			g := newFakeGroup(3, 1, 0)
+			startGroup(t, g)
+			g.prepare(1)
+			before := g.passes()
+			step, err := Switch(context.Background(), g.engines(), g.reporters(), Change{Epoch: 1, Version: 1, Ahead: ahead})
+			is.NoErr(err)
+			is.True(step >= before+ahead)
+			time.Sleep(10 * pass)
+			mixed, held, current := g.state()
+			is.Equal(mixed, int64(0))
+			is.True(!held)
+			is.Equal(current, int64(1))
+		})
+	}
+}
+
 // Guards against a hold while a rank does not answer: the group was held for 4 s
 // when a side machine froze between the copies and the switch.
 func TestNoHoldWhileARankIsSilent(t *testing.T) {
@@ -182,7 +203,7 @@
 	startGroup(t, g)
 	g.prepare(1)
 	g.ranks[3].silent = true
-	_, err := Switch(context.Background(), g.engines(), g.reporters(), 0, 1, 1)
+	_, err := Switch(context.Background(), g.engines(), g.reporters(), Change{Epoch: 1, Version: 1, Lead: 0, Ahead: NextPass})
 	is.True(err != nil)
 	for _, r := range g.ranks {
 		is.Equal(r.orders, 0)
@@ -227,7 +248,7 @@
 	g.prepare(1)
 	g.epoch = 2
 	began := time.Now()
-	_, err := Switch(context.Background(), g.engines(), g.reporters(), 0, 1, 1)
+	_, err := Switch(context.Background(), g.engines(), g.reporters(), Change{Epoch: 1, Version: 1, Lead: 0, Ahead: NextPass})
 	is.True(err != nil)
 	is.True(PrepareMap(context.Background(), g.ranks[0], Order{Operation: Prepare, Epoch: 1, Version: 5}) != nil)
 	is.True(time.Since(began) < time.Second)
@@ -266,7 +287,7 @@
 			for i, r := range g.ranks {
 				engines[i] = lagged{r, &sync.Mutex{}, &[]peers.Report{}}
 			}
-			_, err := Switch(context.Background(), engines, g.reporters(), 1, 1, 1)
+			_, err := Switch(context.Background(), engines, g.reporters(), Change{Epoch: 1, Version: 1, Lead: 1, Ahead: NextPass})
 			g.mu.Lock()
 			held := g.ranks[1].held
 			g.mu.Unlock()
