--- a/internal/mapcontrol/limit.go
+++ b/internal/mapcontrol/limit.go
@@ -21,12 +21,11 @@
 	// shift may take by the engine's own figures. At 5.8 requests a rank and an
 	// unevenness of 2.5 (0.96) no stream of the grown site had a longer pause.
 	modelShare = 1
-	// recentShifts is the number of shifts that the expected unevenness is the median
-	// of. What looks like a mild shift after a freeze of the controller brought an
-	// average from 2.5 down to 2.0. A limit for nearly all shifts is below what calm
-	// seconds need: for the second largest, scale-1 of today's site served 0.79 of its
-	// worth, 0.91 without any queue.
+	// recentShifts is the number of shifts that the expected unevenness is taken from:
+	// peakShare in 100 of them are milder. What looks like a mild shift after a freeze
+	// of the controller brought an average from 2.5 down to 2.0.
 	recentShifts = 5
+	peakShare    = 60
 	// usualPeak stands for the shifts before the first one that was seen, twice: those
 	// of today's sites are 1.8 to 2.8, of the grown ones 2.3 to 2.8.
 	usualPeak = 2.4
@@ -69,7 +68,7 @@
 	}
 	l.shifts = append(l.shifts, uneven)
 	l.shifts = l.shifts[max(len(l.shifts)-recentShifts, 0):]
-	l.peak = slices.Sorted(slices.Values(l.shifts))[len(l.shifts)/2]
+	l.peak = slices.Sorted(slices.Values(l.shifts))[peakShare*len(l.shifts)/100]
 }
 
 // measure takes the last pass that was begun.
