balance: a server without reports fills no other server's places

Cause: read in review. The load of a server without a report is guessed as the own requests there times the number of gateways. With one own request at such a server a fleet of 41 counted 35 places of other servers as taken, which could stop all requests.

Change: a guess counts down to no free place at its own server.

TestServerWithoutReportsBlocksNoOther fails before.

--- a/internal/balance/places.go
+++ b/internal/balance/places.go
@@ -31,14 +31,17 @@
 	}
 	free, places, own, reported := 0.0, 0.0, 0, false
 	for _, b := range p.backends {
-		load := b.load(now, p.senders())
-		if b.hasReport(now) {
-			load, reported = b.reported, true
+		if !b.usable(now) {
+			continue
 		}
-		if b.usable(now) {
-			free += limit - float64(load)
-			places += limit
-			own += b.running
+		places += limit
+		own += b.running
+		if b.hasReport(now) {
+			free += limit - float64(b.reported)
+			reported = true
+		} else {
+			// The load is a guess: it must not fill the places of other servers.
+			free += max(limit-float64(b.load(now, p.senders())), 0)
 		}
 	}
 	if !reported {
--- a/internal/balance/pool_test.go
+++ b/internal/balance/pool_test.go
@@ -104,6 +104,26 @@
 	is.True(taken >= servers*limit/2)
 }
 
+// Guards against a server without reports that blocks all others: one own request
+// there stands for one of each gateway.
+func TestServerWithoutReportsBlocksNoOther(t *testing.T) {
+	is := is.New(t)
+	p, c, list := newPool(4)
+	p.SetGateways(41, true)
+	for n := range list {
+		p.backends[list[n].ID].running = 1
+	}
+	took := false
+	for range 200 {
+		c.t = c.t.Add(reportAge + time.Millisecond)
+		for _, s := range list[1:] {
+			p.Report(s.ID, 1)
+		}
+		took = took || p.Acquire(Constraint{Limit: 6}) != nil
+	}
+	is.True(took)
+}
+
 // Guards against places that nobody takes: what a gateway leaves free is shared
 // anew with each report, and what it has sent counts until reports have it.
 func TestFreePlacesAreTakenInTime(t *testing.T) {
