feed: give up servers that left while only this process was cut from the store

Ruled out: a shorter grace, because entries that lapsed with the store are back only after about 2 s.

Change: gateways tell each other for how long the store has answered them without a break. Missing servers are given up returnGrace after the store's return as any gateway saw it, at once if one had contact all the while. The watch ends when a missing server is due and not up to 0.6 s later.

Without the other gateways' word the new test of a cut fails.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -30,11 +30,11 @@
 	// firstPause and lastPause bound the pause after a failed call.
 	firstPause = 60 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
-	// returnGrace is how long servers that are missing after the store was away
-	// are kept: entries that lapsed meanwhile are back within about 2 s.
+	// returnGrace is how long after the store's return servers that are missing are
+	// kept: entries that lapsed meanwhile are back within about 2 s.
 	returnGrace = 2300 * time.Millisecond
-	// awayAfter is the time without an answer from which the store counts as
-	// having been away. Entries lapse after three heartbeats of 1.2 s.
+	// awayAfter is the time without an answer from which the store may have been
+	// away. Entries lapse after three heartbeats of 1.2 s.
 	awayAfter = 2500 * time.Millisecond
 )
 
@@ -84,23 +84,28 @@
 	recorder  *events.Recorder
 	snapshot  atomic.Pointer[Snapshot]
 	// confirmed is the latest moment, in nanoseconds since start, as of which
-	// the copy is known to be complete.
-	confirmed atomic.Int64
-	start     time.Time
-	changed   chan struct{}
+	// the copy is known to be complete, and contact the moment since which the store
+	// has answered without a longer break.
+	confirmed, contact atomic.Int64
+	start              time.Time
+	// others returns for how long other processes have had contact to the store.
+	others  func() time.Duration
+	changed chan struct{}
 
 	servers       map[string]*deployment.Server
 	configuration *deployment.Configuration
-	// missing holds when servers that vanished while the store was away are
-	// given up.
+	// missing holds since when this process knows that servers are missing which
+	// may have lapsed while the store was away.
 	missing map[string]time.Time
 	away    bool
 }
 
-// New returns a feed without content; Run fills it.
-func New(source Source, documents Documents, recorder *events.Recorder) *Feed {
+// New returns a feed without content; Run fills it. others returns the longest time
+// for which another process has had contact to the store without a break, 0 if none
+// is known to have any.
+func New(source Source, documents Documents, recorder *events.Recorder, others func() time.Duration) *Feed {
 	f := &Feed{
-		source: source, documents: documents, recorder: recorder, start: time.Now(),
+		source: source, documents: documents, recorder: recorder, start: time.Now(), others: others,
 		changed: make(chan struct{}, 1),
 		servers: map[string]*deployment.Server{}, missing: map[string]time.Time{},
 	}
@@ -125,6 +130,15 @@
 	return time.Since(f.start) - time.Duration(at)
 }
 
+// Contact returns for how long the store has answered this process without a break,
+// 0 if it does not answer now.
+func (f *Feed) Contact() time.Duration {
+	if f.Age() > awayAfter {
+		return 0
+	}
+	return time.Since(f.start) - time.Duration(f.contact.Load())
+}
+
 func (f *Feed) confirm(at time.Time) {
 	n := at.Sub(f.start).Nanoseconds()
 	if n > f.confirmed.Load() {
@@ -179,9 +193,12 @@
 	if err != nil {
 		return 0, err
 	}
-	lapsed := f.Age() > awayAfter
+	silent := f.Age() > awayAfter
+	if silent {
+		f.contact.Store(asked.Sub(f.start).Nanoseconds())
+	}
 	f.regained()
-	f.replaceServers(items, lapsed)
+	f.replaceServers(items, silent)
 	if found {
 		f.takeConfiguration(configuration)
 	}
@@ -190,39 +207,32 @@
 	return revision, nil
 }
 
-// replaceServers takes a full listing. After an outage, servers that it lacks
-// are kept for returnGrace.
-func (f *Feed) replaceServers(items []Item, lapsed bool) {
+// replaceServers takes a full listing. If the store was silent, servers that it
+// lacks may have lapsed meanwhile, and dropMissing decides about them.
+func (f *Feed) replaceServers(items []Item, silent bool) {
 	present := make(map[string]bool, len(items))
 	for _, i := range items {
 		present[i.Key] = true
 		f.takeServer(i)
 	}
-	giveUp := time.Now().Add(returnGrace)
+	now := time.Now()
 	for key := range f.servers {
-		if present[key] {
-			continue
-		}
-		if lapsed {
-			if _, known := f.missing[key]; !known {
-				f.missing[key] = giveUp
-			}
-			continue
-		}
-		if _, waits := f.missing[key]; !waits {
+		_, waits := f.missing[key]
+		switch {
+		case present[key] || waits:
+		case silent:
+			f.missing[key] = now
+		default:
 			f.dropServer(key, "unlisted")
 		}
 	}
+	f.dropMissing()
 }
 
 // follow takes changes until a watch fails.
 func (f *Feed) follow(ctx context.Context, revision int64) error {
 	for ctx.Err() == nil {
-		wait := watchWait
-		if len(f.missing) > 0 {
-			wait /= 4
-		}
-		next, changed, err := f.watchOnce(ctx, revision, wait)
+		next, changed, err := f.watchOnce(ctx, revision, f.nextWait())
 		if err != nil {
 			return err
 		}
@@ -234,6 +244,22 @@
 	return ctx.Err()
 }
 
+// nextWait returns how long the next watch waits: not beyond the moment at which a
+// missing server is given up, and shorter while others may yet tell that the store
+// was not away.
+func (f *Feed) nextWait() time.Duration {
+	// missingWait and shortestWait bound the price of these watches.
+	const missingWait, shortestWait = watchWait / 4, 100 * time.Millisecond
+	if len(f.missing) == 0 {
+		return watchWait
+	}
+	wait := missingWait
+	for _, since := range f.missing {
+		wait = min(wait, time.Until(since.Add(returnGrace)))
+	}
+	return max(wait, shortestWait)
+}
+
 func (f *Feed) watchOnce(ctx context.Context, revision int64, wait time.Duration) (next int64, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
 	defer cancel()
@@ -306,19 +332,29 @@
 	delete(f.missing, key)
 }
 
-// dropMissing gives up the servers that did not come back in time and reports
-// whether there was one.
+// dropMissing gives up the missing servers that had time to come back, and reports
+// whether there was one. That time counts from the store's return as any process saw
+// it: where another one had contact all the while, only the way of this one was cut,
+// and what is missing has left.
 func (f *Feed) dropMissing() bool {
 	now, dropped := time.Now(), false
-	for key, giveUp := range f.missing {
-		if now.After(giveUp) {
-			f.dropServer(key, "not back after the store's outage")
+	back := now.Add(-f.others())
+	for key, since := range f.missing {
+		if now.Sub(earliest(since, back)) >= returnGrace {
+			f.dropServer(key, "not back since the store answers")
 			dropped = true
 		}
 	}
 	return dropped
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (f *Feed) publish() {
 	s := &Snapshot{Configuration: f.configuration, Servers: map[string][]*deployment.Server{}}
 	for _, server := range newestByAddress(f.servers) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -130,9 +130,12 @@
 	serverTwo = `{"ID":"two","Service":"m","Address":"192.0.2.2:80","Born":1}`
 )
 
-func start(t *testing.T, s *store) *Feed {
+// alone tells that no other process has contact to the store.
+func alone() time.Duration { return 0 }
+
+func start(t *testing.T, s *store, others func() time.Duration) *Feed {
 	t.Helper()
-	f := New(s, documents{}, events.NewRecorder("test", 1, io.Discard))
+	f := New(s, documents{}, events.NewRecorder("test", 1, io.Discard), others)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
@@ -170,7 +173,7 @@
 	s.put("servers/old", serverOld)
 	s.put("servers/new", serverNew)
 	s.put("servers/two", serverTwo)
-	f := start(t, s)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the two newest servers", func() bool { return ids(f) == "new,two" })
 }
 
@@ -181,7 +184,7 @@
 	s := newStore()
 	s.put("servers/new", serverNew)
 	s.put("servers/two", serverTwo)
-	f := start(t, s)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "both servers", func() bool { return ids(f) == "new,two" })
 	s.set(func(s *store) { s.down = true })
 	time.Sleep(awayAfter + 300*time.Millisecond)
@@ -194,13 +197,58 @@
 	eventually(t, returnGrace+2*time.Second, "only the server that came back", func() bool { return ids(f) == "two" })
 }
 
+// Guards against requests to a server that has left while only this process was cut
+// from the store: it was kept as if the store had been away, and got a request 2.26 s
+// after its departure. Another process that had contact all the while proves that the
+// store was not away; one that has it for a moment only proves nothing.
+func TestServerThatLeftDuringAnOwnCutIsDropped(t *testing.T) {
+	for name, x := range map[string]struct {
+		contact time.Duration
+		kept    bool
+	}{
+		"contact all the while": {time.Minute, false},
+		"contact as short":      {returnGrace / 4, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStore()
+			s.put("servers/new", serverNew)
+			s.put("servers/two", serverTwo)
+			f := start(t, s, func() time.Duration { return x.contact })
+			eventually(t, time.Second, "both servers", func() bool { return ids(f) == "new,two" })
+			s.set(func(s *store) { s.down = true })
+			time.Sleep(awayAfter + 300*time.Millisecond)
+			s.remove("servers/two")
+			s.set(func(s *store) { s.lost = s.revision; s.down = false })
+			eventually(t, 2*time.Second, "the store answers", func() bool { return f.Age() < time.Second })
+			is.Equal(ids(f) == "new,two", x.kept)
+		})
+	}
+}
+
+// Guards against a break that is not told to others, and contact that is told while
+// the store is silent.
+func TestContactIsWithoutABreak(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	s.put("config", "1")
+	f := start(t, s, alone)
+	eventually(t, time.Second, "contact", func() bool { return f.Contact() > 0 })
+	s.set(func(s *store) { s.down = true })
+	time.Sleep(awayAfter + 200*time.Millisecond)
+	is.Equal(f.Contact(), time.Duration(0))
+	s.set(func(s *store) { s.down = false })
+	eventually(t, 2*time.Second, "contact again", func() bool { return f.Contact() > 0 })
+	is.True(f.Contact() < 2*time.Second)
+}
+
 // Guards against a revert: an older version that is read later, or a change that
 // fell into dropped history.
 func TestConfigurationNeverReverts(t *testing.T) {
 	is := is.New(t)
 	s := newStore()
 	s.put("config", "5")
-	f := start(t, s)
+	f := start(t, s, alone)
 	version := func() int64 {
 		if c := f.Snapshot().Configuration; c != nil {
 			return c.Version
@@ -222,7 +270,7 @@
 	is := is.New(t)
 	s := newStore()
 	s.put("servers/two", serverTwo)
-	f := start(t, s)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the server", func() bool { return ids(f) == "two" })
 	s.put("servers/x", `\xff not readable`)
 	s.put("other/key", "1")
@@ -237,7 +285,7 @@
 	is := is.New(t)
 	s := newStore()
 	s.put("config", "1")
-	f := start(t, s)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the configuration", func() bool { return f.Snapshot().Configuration != nil })
 	s.set(func(s *store) { s.down = true })
 	began := time.Now()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -202,7 +202,7 @@
 	src := &source{state: state}
 	log := &lockedBuffer{}
 	recorder := events.NewRecorder("test", 1, log)
-	f := feed.New(src, src, recorder)
+	f := feed.New(src, src, recorder, func() time.Duration { return 0 })
 	g := New(Config{Feed: f, Headers: testHeaders{}, Recorder: recorder, Metrics: NewMetrics(tally.NoopScope),
 		Revoke: revoke, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, MemoryBytes: 1 << 28})
 	g.SetGateways(1, true)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -95,7 +95,7 @@
 	p := &gatewayProcess{config: c, adapter: a, start: fleet.NewStartID()}
 	p.recorder = events.NewRecorder(fleet.ProcessID(c.Name), p.start, w)
 	p.metrics = metrics.New(map[string]string{"process": c.Name})
-	p.feed = feed.New(a.Source, a.Documents, p.recorder)
+	p.feed = feed.New(a.Source, a.Documents, p.recorder, func() time.Duration { return p.members.StoreContact() })
 	p.gateway = gateway.New(gateway.Config{
 		Zone: fleet.AvailabilityZone(c.Zone), Feed: p.feed, Headers: a.Headers, Recorder: p.recorder,
 		Metrics: gateway.NewMetrics(p.metrics.Scope), Revoke: c.Bounds.Revoke(),
@@ -126,6 +126,7 @@
 		Name: p.config.Name, Start: p.start, Control: p.config.Listen.Control, Callers: p.config.Listen.Callers,
 		Zone: fleet.AvailabilityZone(p.config.Zone), Serving: p.gateway.Ready(),
 		Stale: !p.gateway.Fresh(), Processor: p.config.Limits.Processor,
+		StoreContactMS: p.feed.Contact().Milliseconds(),
 	}
 }
 
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -152,6 +152,21 @@
 	return len(m.Alive()), m.now().Sub(m.started) >= settleTime
 }
 
+// StoreContact returns the longest time for which the store has answered one of the
+// other gateways without a break, as they told lately; 0 if it answers none.
+func (m *Members) StoreContact() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	longest := time.Duration(0)
+	for _, x := range m.peers {
+		if x.alive && now.Sub(x.heard) <= aliveFor {
+			longest = max(longest, time.Duration(x.StoreContactMS)*time.Millisecond)
+		}
+	}
+	return longest
+}
+
 // Told notes that a gateway sent a message about a group, as their controller.
 func (m *Members) Told(control string) {
 	m.mu.Lock()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -33,6 +33,9 @@
 	// Stale tells that the gateway has had no contact to the store for so long that
 	// it can't serve requests with keys.
 	Stale bool `cbor:"8,keyasint,omitempty"`
+	// StoreContactMS is for how long the store has answered the gateway without a
+	// break, in milliseconds; 0 if it does not.
+	StoreContactMS int64 `cbor:"9,keyasint,omitempty"`
 	// Processor is the part of a processor core that the gateway may use.
 	Processor float64 `cbor:"7,keyasint"`
 }
