admission, gateway: callers that come back, and groups that start

Callers that come back after a refusal have no other try, and were queued and refused like new ones. After a loss of power 190 to 250 of them were refused within a second: the rate of places was taken from the first few grants, places that are free were not counted, and a rank of a group that has not formed yet counted as full.

Load pattern: waves, and callers that come back after a loss of power, beside a load that is always near what the group can do.

Change: - a caller that came back is known by the time that it will still wait, beside what the callers of its route usually bring; - it goes first when its time is nearly over, for as many places as stayed free lately; under a load that lasts there are none; - Retry-After is drawn between the wait and the longest that is heeded; - waits count the places that are free, and the rate that the engines' figures give until it was measured; - a server with free slots that refuses means that its group is closed: one request at a time asks again, the others wait.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -21,6 +21,10 @@
 	// floorEvery gives every so many-th place to the rank that waits and had the
 	// fewest places, so that a flood of urgent work leaves the others a part.
 	floorEvery = 8
+	// dueShare is the part of its time after which a caller that came back goes first.
+	dueShare = 0.5
+	// grantsNeeded is the number of places after which their rate is measured.
+	grantsNeeded = 32
 	// usageHalfLife is the time in which an account's past use counts half.
 	usageHalfLife = 4 * time.Second
 	// rateHalfLife is the time over which the rates of places and of arrivals are
@@ -37,6 +41,9 @@
 	Urgency int
 	// Work is the estimated work in tokens.
 	Work float64
+	// Returned tells that the caller was refused before, and that Carry let it go first
+	// when its time is nearly over.
+	Returned bool
 	// Arrived is when the request came, OnTime until when a place lets it meet its
 	// goal, Latest when it is refused if it has no place yet.
 	Arrived, OnTime, Latest time.Time
@@ -49,9 +56,15 @@
 	grants int
 	// byRank counts the recent grants of each rank.
 	byRank map[int]float64
-	// granted is the rate of places, and arrived that of requests by rank.
-	granted rate
-	arrived map[int]*rate
+	// granted is the rate of places, arrived that of requests by rank, and returned
+	// that of callers that came back.
+	granted  rate
+	arrived  map[int]*rate
+	returned rate
+	// expected is the rate of places by the engines' figures, which stands for the
+	// measured one until enough were granted, and free the number that is free now.
+	expected, free float64
+	spare          spare
 }
 
 // rate is an average number of events a second.
@@ -84,15 +97,37 @@
 	return &Queue[T]{usage: map[fleet.ClientAccount]*usage{}, byRank: map[int]float64{}, arrived: map[int]*rate{}}
 }
 
+// SetPlaces sets how many places are free, and the rate of places, a second, that is
+// assumed until it was measured.
+func (q *Queue[T]) SetPlaces(free, perSecond float64, now time.Time) {
+	q.free, q.expected = max(free, 0), perSecond
+	q.spare.note(perSecond, q.granted.now(now), len(q.items) == 0, now)
+}
+
+// Carry reports whether a caller that came back may go first, and takes that from the
+// places that the group had to spare lately. These say that the overload will pass, and
+// that the others are served then.
+func (q *Queue[T]) Carry() bool { return q.spare.take() }
+
+// places returns the rate of places, 0 if it is unknown. Load pattern: all processes
+// start at once and callers come back. The rate of the first few grants is near
+// nothing, and 190 callers were refused in the second in which the group started.
+func (q *Queue[T]) places() float64 {
+	if q.grants < grantsNeeded {
+		return q.expected
+	}
+	return q.granted.perSecond
+}
+
 // Len returns the number of waiting items.
 func (q *Queue[T]) Len() int { return len(q.items) }
 
 // Push adds an item.
 func (q *Queue[T]) Push(i *Item[T]) { q.items = append(q.items, i) }
 
-// Ahead returns how many items would get a place before a new one of a rank that
+// ahead returns how many items would get a place before a new one of a rank that
 // is on time.
-func (q *Queue[T]) Ahead(urgency int, now time.Time) int {
+func (q *Queue[T]) ahead(urgency int, now time.Time) int {
 	n := 0
 	for _, i := range q.items {
 		if i.Urgency <= urgency && !i.late(now) {
@@ -103,7 +138,11 @@
 }
 
 // Arrived notes a request of a rank, whether it will wait or not.
-func (q *Queue[T]) Arrived(urgency int, now time.Time) {
+func (q *Queue[T]) Arrived(urgency int, returned bool, now time.Time) {
+	if returned {
+		q.returned.count(now)
+		return
+	}
 	r := q.arrived[urgency]
 	if r == nil {
 		r = &rate{}
@@ -118,7 +157,7 @@
 // comes after all that can be on time, so that those who wait in vain are told at
 // once.
 func (q *Queue[T]) Wait(urgency int, inTime time.Duration, now time.Time) (wait time.Duration, ok bool) {
-	places := q.granted.perSecond
+	places := q.places()
 	if places <= 0 {
 		return 0, false
 	}
@@ -130,17 +169,35 @@
 			urgent += perSecond
 		}
 	}
-	wait = timeFor(q.Ahead(urgency, now), places-urgent, places)
+	returned := q.returned.now(now)
+	wait = q.timeFor(q.ahead(urgency, now), places-urgent-returned, places)
 	if wait <= inTime {
 		return wait, true
 	}
-	return max(wait, timeFor(len(q.items), places-all, places)), true
+	return max(wait, q.timeFor(len(q.items), places-all-returned, places)), true
+}
+
+// WaitReturned estimates how long a caller that came back would wait: those that came
+// back before it go first.
+func (q *Queue[T]) WaitReturned(now time.Time) (wait time.Duration, ok bool) {
+	places := q.places()
+	if places <= 0 {
+		return 0, false
+	}
+	n := 0
+	for _, i := range q.items {
+		if i.Returned {
+			n++
+		}
+	}
+	return q.timeFor(n, places, places), true
 }
 
-// timeFor returns the time until n items have places at a rate, of which a rank
-// keeps its floor.
-func timeFor(n int, perSecond, places float64) time.Duration {
-	return time.Duration(float64(n) / max(perSecond, places/floorEvery) * float64(time.Second))
+// timeFor returns the time until n items have places, those that are free and others
+// at a rate, of which a rank keeps its floor.
+func (q *Queue[T]) timeFor(n int, perSecond, places float64) time.Duration {
+	waiting := max(float64(n)-q.free, 0)
+	return time.Duration(waiting / max(perSecond, places/floorEvery) * float64(time.Second))
 }
 
 // Remove takes an item out, for a caller that left. It returns false if the
@@ -177,26 +234,28 @@
 
 // Pop takes out the item that gets the next place, or returns nil. Items that
 // are late already come after all that can be on time: a late answer is worth a
-// small part of one in time and takes as much work.
+// small part of one in time and takes as much work. Callers that came back are late
+// in any case and are lost if they are refused again, so they go first when their
+// time is nearly over, as long as the group has places to spare between floods.
 func (q *Queue[T]) Pop(now time.Time) *Item[T] {
 	if len(q.items) == 0 {
 		return nil
 	}
 	q.grants++
-	late := q.allLate(now)
-	rank := q.mostUrgent(now, late)
+	group := q.firstGroup(now)
+	rank := q.mostUrgent(now, group)
 	if q.grants%floorEvery == 0 {
-		rank = q.leastServed(now, late)
+		rank = q.leastServed(now, group)
 	}
-	best := -1
+	best, bestDue := -1, false
 	var bestUse float64
 	for k, i := range q.items {
-		if i.Urgency != rank || i.late(now) != late {
+		if i.Urgency != rank || i.group(now) != group {
 			continue
 		}
-		use := q.used(i.Account, now)
-		if best < 0 || use < bestUse {
-			best, bestUse = k, use
+		use, due := q.used(i.Account, now), i.goesFirst(now)
+		if best < 0 || (due && !bestDue) || (due == bestDue && use < bestUse) {
+			best, bestDue, bestUse = k, due, use
 		}
 	}
 	item := q.items[best]
@@ -205,6 +264,33 @@
 	return item
 }
 
+// group returns which items an item waits with, 0 for those that go first.
+func (i *Item[T]) group(now time.Time) int {
+	const onTimeGroup, returnedGroup, lateGroup = 0, 1, 2
+	switch {
+	case i.goesFirst(now):
+		return onTimeGroup
+	case i.Returned:
+		return returnedGroup
+	case i.late(now):
+		return lateGroup
+	}
+	return onTimeGroup
+}
+
+// goesFirst reports whether an item of a caller that came back goes before the items
+// of its rank that can be on time.
+func (i *Item[T]) goesFirst(now time.Time) bool { return i.Returned && i.due(now) }
+
+// firstGroup returns the first group that has an item.
+func (q *Queue[T]) firstGroup(now time.Time) int {
+	first := math.MaxInt
+	for _, i := range q.items {
+		first = min(first, i.group(now))
+	}
+	return first
+}
+
 // Charge counts a place that an item got, from the queue or at once.
 func (q *Queue[T]) Charge(i *Item[T], now time.Time) {
 	for rank := range q.byRank {
@@ -231,36 +317,31 @@
 
 func (i *Item[T]) late(now time.Time) bool { return now.After(i.OnTime) }
 
-// allLate reports whether no waiting item can be on time any more.
-func (q *Queue[T]) allLate(now time.Time) bool {
-	for _, i := range q.items {
-		if !i.late(now) {
-			return false
-		}
-	}
-	return true
+// due reports whether an item has waited for most of its time.
+func (i *Item[T]) due(now time.Time) bool {
+	return now.Sub(i.Arrived) >= time.Duration(dueShare*float64(i.Latest.Sub(i.Arrived)))
 }
 
 // noRank is above all ranks.
 const noRank = math.MaxInt
 
-// mostUrgent returns the most urgent rank of the items that are late, or not.
-func (q *Queue[T]) mostUrgent(now time.Time, late bool) int {
+// mostUrgent returns the most urgent rank of the items of a group.
+func (q *Queue[T]) mostUrgent(now time.Time, group int) int {
 	best := noRank
 	for _, i := range q.items {
-		if i.late(now) == late {
+		if i.group(now) == group {
 			best = min(best, i.Urgency)
 		}
 	}
 	return best
 }
 
-// leastServed returns the rank that got the fewest places lately, of the items
-// that are late, or not.
-func (q *Queue[T]) leastServed(now time.Time, late bool) int {
+// leastServed returns the rank that got the fewest places lately, of the items of a
+// group.
+func (q *Queue[T]) leastServed(now time.Time, group int) int {
 	best := noRank
 	for _, i := range q.items {
-		if i.late(now) == late && (best == noRank || q.byRank[i.Urgency] < q.byRank[best]) {
+		if i.group(now) == group && (best == noRank || q.byRank[i.Urgency] < q.byRank[best]) {
 			best = i.Urgency
 		}
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -138,7 +138,7 @@
 	q := NewQueue[int]()
 	now := time.Unix(10, 0)
 	push := func(urgency int) {
-		q.Arrived(urgency, now)
+		q.Arrived(urgency, false, now)
 		q.Push(&Item[int]{Urgency: urgency, Account: "a", OnTime: now.Add(300 * time.Millisecond), Latest: now.Add(time.Second)})
 	}
 	// 100 places a second; 80 requests of the top rank and 60 of the bottom one.
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -120,6 +120,19 @@
 	return max(p.gateways, len(p.backends)/serversPerGateway)
 }
 
+// Part returns this process's part of the servers that take work.
+func (p *Pool) Part() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, n := p.now(), 0
+	for _, b := range p.backends {
+		if b.usable(now) {
+			n++
+		}
+	}
+	return float64(n) / float64(p.senders())
+}
+
 // Constraint says which servers a request may go to.
 type Constraint struct {
 	// Except holds the IDs of servers that the request was sent to before.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -59,14 +60,17 @@
 	returnShare = 0.32
 )
 
-// returnTime chooses when a refused caller may come back: when its place in the
-// queue would have been reached, and within the time that it heeds.
+// returnTime chooses when a refused caller may come back: drawn between the time at
+// which its place in the queue would have been reached and the longest that it heeds.
+// Load pattern: a crest, or a group that starts, in which hundreds are refused within
+// a second. Those that come back together meet each other again.
 func (g *Gateway) returnTime(r *request, wait time.Duration) time.Duration {
-	d := min(max(wait, minReturn), maxReturn)
-	if left := time.Duration(returnShare * float64(r.left())); left > 0 {
-		d = min(d, left)
+	longest := min(time.Duration(returnShare*float64(r.left())), maxReturn)
+	shortest := max(wait, minReturn)
+	if longest <= shortest {
+		return max(longest, minReturn)
 	}
-	return d
+	return shortest + time.Duration(rand.Int64N(int64(longest-shortest)))
 }
 
 // finish logs and counts the end of a request.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -57,9 +57,12 @@
 	switch {
 	case s.reply.NotRun:
 		s.verdict = verdict.NotRun
-		if resp.StatusCode == http.StatusMisdirectedRequest {
+		switch {
+		case resp.StatusCode == http.StatusMisdirectedRequest:
 			p.service.pool.Misdirected(p.backend)
-		} else {
+		case s.reply.HasLoad && s.reply.Running+s.reply.Waiting < p.backend.Server.Slots:
+			p.service.refusedWithSlots()
+		default:
 			p.service.pool.Full(p.backend, p.backend.Server.Slots)
 		}
 	case s.reply.ID != r.ID:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -194,8 +194,11 @@
 	g.services.setGateways(n, settled)
 }
 
-// SetLimit sets how many requests a rank of a model service runs at a time.
-func (g *Gateway) SetLimit(service string, perRank float64) { g.services.setLimit(service, perRank) }
+// SetLimit sets how many requests a rank of a model service runs at a time, and how
+// long a pass of its group takes, 0 if that is unknown.
+func (g *Gateway) SetLimit(service string, perRank float64, pass time.Duration) {
+	g.services.setLimit(service, perRank, pass)
+}
 
 // request is a caller's request on its way.
 type request struct {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -48,7 +48,7 @@
 }
 
 func (testHeaders) Reply(resp *http.Response) Reply {
-	return Reply{ID: fleet.RequestID(resp.Header.Get("Id")), NotRun: resp.Header.Get("Not-Run") != "" || resp.StatusCode == 421}
+	return Reply{ID: fleet.RequestID(resp.Header.Get("Id")), NotRun: resp.Header.Get("Not-Run") != "" || resp.StatusCode == 421, HasLoad: resp.Header.Get("Idle") != ""}
 }
 
 func (testHeaders) Answer(in http.Header) http.Header { return in.Clone() }
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -34,14 +34,23 @@
 
 	mu    sync.Mutex
 	queue *admission.Queue[chan *place]
+	// callers knows who has come back after a refusal.
+	callers *admission.Callers
 	// limit is the number of requests that the servers run at a time on average; 0
 	// means that requests never wait here.
 	limit float64
-	// streams is the number of streams that run at the servers, and lastEvent
-	// when one of them got an event or the first of them began.
+	// engine is nil for a plain service; pass is the measured time of a pass of its
+	// group, 0 while it is unknown.
+	engine *deployment.Engine
+	pass   time.Duration
+	// streams is the number of streams that run at the servers, busySince when the
+	// first of them began, and lastEvent when one got an event.
 	streams   atomic.Int64
+	busySince atomic.Int64
 	lastEvent atomic.Int64
-	reserve   reserve
+	// lastRefusal is when a server refused a request although it had slots.
+	lastRefusal atomic.Int64
+	reserve     reserve
 }
 
 const (
@@ -56,22 +65,44 @@
 // stalled reports whether no stream gets events, at any server. All ranks of a
 // group pass together, so a request sent now would wait like the others.
 func (x *service) stalled() bool {
-	return x.streams.Load() >= probeStreams && time.Since(processStart).Nanoseconds()-x.lastEvent.Load() > stalledAfter.Nanoseconds()
+	since := max(x.lastEvent.Load(), x.busySince.Load())
+	return x.streams.Load() >= probeStreams && sinceStart()-since > stalledAfter.Nanoseconds()
 }
 
+// closedPause is the pause after which a group that refused a request is asked again.
+const closedPause = 120 * time.Millisecond
+
+// closed reports whether the group seems to take no requests: a server with free slots
+// refused one and no stream got an event since. One request at a time then finds out whether it
+// has opened. Load pattern: all machines lost power, and callers come back before the
+// group has formed again.
+func (x *service) closed() bool {
+	refused := x.lastRefusal.Load()
+	if refused == 0 || x.lastEvent.Load() > refused {
+		return false
+	}
+	return x.pool.Totals().Own > 0 || sinceStart()-refused < closedPause.Nanoseconds()
+}
+
+// refusedWithSlots notes that a server refused a request although it has slots.
+func (x *service) refusedWithSlots() { x.lastRefusal.Store(sinceStart()) }
+
 // processStart makes steady-clock readings out of durations.
 var processStart = time.Now()
 
+// sinceStart returns the reading of the steady clock in nanoseconds.
+func sinceStart() int64 { return time.Since(processStart).Nanoseconds() }
+
 // streamBegan and streamEnded count streams; gotEvent notes an event.
 func (x *service) streamBegan() {
 	if x.streams.Add(1) == 1 {
-		x.gotEvent()
+		x.busySince.Store(sinceStart())
 	}
 }
 
 func (x *service) streamEnded() { x.streams.Add(-1) }
 
-func (x *service) gotEvent() { x.lastEvent.Store(time.Since(processStart).Nanoseconds()) }
+func (x *service) gotEvent() { x.lastEvent.Store(sinceStart()) }
 
 func newServices(zone fleet.AvailabilityZone, recorder *events.Recorder) *services {
 	return &services{zone: zone, recorder: recorder, byName: map[string]*service{}}
@@ -82,7 +113,7 @@
 	defer s.mu.Unlock()
 	x := s.byName[name]
 	if x == nil {
-		x = &service{pool: balance.NewPool(s.zone), queue: admission.NewQueue[chan *place]()}
+		x = &service{pool: balance.NewPool(s.zone), queue: admission.NewQueue[chan *place](), callers: admission.NewCallers(time.Now())}
 		x.pool.SetGateways(s.gateways, s.settled)
 		s.byName[name] = x
 	}
@@ -121,10 +152,10 @@
 	}
 }
 
-func (s *services) setLimit(name string, perRank float64) {
+func (s *services) setLimit(name string, perRank float64, pass time.Duration) {
 	x := s.get(name)
 	x.mu.Lock()
-	x.limit = perRank
+	x.limit, x.pass = perRank, pass
 	x.mu.Unlock()
 	x.dispatch()
 }
@@ -143,11 +174,38 @@
 func (x *service) initLimit(d *deployment.Service) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.engine = d.Engine
 	if d.Engine != nil && x.limit == 0 {
 		x.limit = max(float64(d.Engine.Slots)*firstLimitShare, 1)
 	}
 }
 
+// freePlaces returns how many more requests this gateway may run now.
+func (x *service) freePlaces() float64 {
+	if x.limit == 0 {
+		return 0
+	}
+	return x.limit*x.pool.Part() - float64(x.pool.Totals().Own)
+}
+
+// expectedPlaces returns how many places a second this gateway gets when all are in
+// use, by the engine's figures and the measured time of a pass; 0 if it is unknown.
+func (x *service) expectedPlaces() float64 {
+	// firstUneven is by how much passes are longer than those of an even group while
+	// none was measured.
+	const firstUneven = 1.5
+	e := x.engine
+	if e == nil || e.UsualAnswer == 0 || e.StepsPerPass == 0 {
+		return 0
+	}
+	pass := x.pass.Seconds()
+	if pass == 0 {
+		pass = firstUneven * float64(e.StepsPerPass) * (e.Step.Seconds() + x.limit*e.StepPerRequest.Seconds())
+	}
+	stay := pass * e.UsualAnswer / float64(e.StepsPerPass)
+	return x.limit * x.pool.Part() / stay
+}
+
 // place is a request's right to run at a server.
 type place struct {
 	service *service
@@ -207,7 +265,7 @@
 	for _, late := range x.queue.Expired(now) {
 		late.Value <- nil
 	}
-	for x.queue.Len() > 0 && !x.stalled() {
+	for x.queue.Len() > 0 && !x.stalled() && !x.closed() {
 		p := x.tryPlace(balance.Constraint{Limit: x.limit})
 		if p == nil {
 			return
@@ -216,12 +274,33 @@
 	}
 }
 
-// wait estimates the time in the queue for a new request that is late after
-// inTime.
-func (x *service) wait(urgency int, inTime time.Duration) (time.Duration, bool) {
+// wait estimates the time in the queue for a new item.
+func (x *service) wait(i *item) (time.Duration, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
-	x.queue.Arrived(urgency, now)
-	return x.queue.Wait(urgency, inTime, now)
+	x.queue.SetPlaces(x.freePlaces(), x.expectedPlaces(), now)
+	x.queue.Arrived(i.Urgency, i.Returned, now)
+	if i.Returned {
+		return x.queue.WaitReturned(now)
+	}
+	return x.queue.Wait(i.Urgency, i.OnTime.Sub(now), now)
+}
+
+// returned reports whether the caller of a request was refused before and may go
+// first for that.
+func (x *service) returned(r *request) bool {
+	if !r.HasPatience {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.callers.Returned(r.route.Name, r.Patience, r.route.Timeout, r.arrived) && x.queue.Carry()
+}
+
+// refused notes that a caller was told to come back.
+func (x *service) refused() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.callers.Refused(time.Now())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,6 +18,8 @@
 	// event, or 2 s; the rest is for the first event.
 	lateShare    = 2.5
 	shortestLate = 1200 * time.Millisecond
+	// lastLateShare is the number of goals for a caller that has no other try.
+	lastLateShare = 3.4
 	// silenceLimit is the time without an event from which a server counts as
 	// lost. Callers leave after 2 s, and a group that lost a rank hangs for 1.5 s
 	// before it breaks its work off.
@@ -99,21 +101,28 @@
 // firstPlace waits for a place, or refuses a request that could not begin in
 // time.
 func (g *Gateway) firstPlace(ctx context.Context, x *service, r *request) (*place, *verdict.Error) {
-	onTime, latest := r.deadline, r.deadline
+	i := &item{
+		ID: r.ID, Account: r.account, Urgency: r.order(), Work: work(r), Arrived: r.arrived, OnTime: r.deadline, Latest: r.deadline,
+		Returned: x.returned(r),
+	}
 	if goal := r.route.Goal; goal > 0 {
-		onTime = r.arrived.Add(goal - x.reserve.of(goal))
-		latest = earliest(r.deadline, r.arrived.Add(max(time.Duration(lateShare*float64(goal)), shortestLate)))
+		i.OnTime = r.arrived.Add(goal - x.reserve.of(goal))
+		late := lateShare
+		if i.Returned {
+			late = lastLateShare
+		}
+		i.Latest = earliest(r.deadline, r.arrived.Add(max(time.Duration(late*float64(goal)), shortestLate)))
 	}
-	wait, known := x.wait(r.order(), time.Until(onTime))
-	if known && r.arrived.Add(wait).After(latest) {
+	wait, known := x.wait(i)
+	if known && r.arrived.Add(wait).After(i.Latest) {
+		x.refused()
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "the wait would be about %s", wait.Round(time.Millisecond)).
 			WithRetryAfter(g.returnTime(r, wait))
 	}
-	p := x.acquire(ctx, &item{
-		ID: r.ID, Account: r.account, Urgency: r.order(), Work: work(r), Arrived: r.arrived, OnTime: onTime, Latest: latest,
-	})
+	p := x.acquire(ctx, i)
 	g.Metrics.Waited.RecordDuration(time.Since(r.arrived))
 	if p == nil {
+		x.refused()
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "no place was free in %s",
 			time.Since(r.arrived).Round(time.Millisecond)).WithRetryAfter(g.returnTime(r, wait))
 	}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -287,7 +287,7 @@
 			}
 		}
 		if found && m.Limit > 0 {
-			p.gateway.SetLimit(service, m.Limit)
+			p.gateway.SetLimit(service, m.Limit, time.Duration(m.PassMS*float64(time.Millisecond)))
 		}
 	}
 }
