--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -17,6 +17,9 @@
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
+	// data tells that the last event has data; comments alone keep a connection open
+	// but are no progress.
+	data bool
 }
 
 func newEventReader(r io.Reader) *eventReader {
@@ -27,7 +30,7 @@
 // and the event's id, or -1 if it has none. The bytes are valid until the next
 // call. An event that breaks off is not returned: its bytes are in rest.
 func (e *eventReader) next() (event []byte, id int64, err error) {
-	e.buf = e.buf[:0]
+	e.buf, e.data = e.buf[:0], false
 	id = -1
 	for {
 		line, err := e.r.ReadSlice('\n')
@@ -44,6 +47,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return e.buf, id, nil
 		}
+		e.data = e.data || bytes.HasPrefix(line, []byte("data"))
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				id = n
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/balance"
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
@@ -20,10 +21,15 @@
 	shortestLate = 1200 * time.Millisecond
 	// lastLateShare is the number of goals for a caller that has no other try.
 	lastLateShare = 3.4
-	// silenceLimit is the time without an event from which a server counts as
-	// lost. Callers leave after 2 s, and a group that lost a rank hangs for 1.5 s
-	// before it breaks its work off.
+	// silenceLimit is the least time without an event from which a server counts as
+	// lost: a group that lost a rank hangs for 1.5 s before it breaks its work off.
 	silenceLimit = 1800 * time.Millisecond
+	// Callers leave after callerGoals goals or callerGaps allowed pauses without an
+	// event, and not before 2 s. silenceShare of that is left to a server, so that the
+	// stream can go on elsewhere before the caller leaves.
+	callerGoals  = 4
+	callerGaps   = 8
+	silenceShare = 0.9
 	// defaultAnswerTokens stands for an answer of unknown length; the deployments'
 	// usual one has 97 tokens.
 	defaultAnswerTokens = 100
@@ -154,7 +160,8 @@
 	defer s.x.streamEnded()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(silenceLimit, func() { cancel(errSilent) })
+	limit := silenceOf(s.r.route)
+	watchdog := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	s.sentAt = time.Now()
 	out := s.g.send(ctx, s.r, p, s.last)
@@ -162,7 +169,7 @@
 		s.r.runs++
 	}
 	if out.err == nil {
-		out = s.relay(out, p, watchdog)
+		out = s.relay(out, p, func() { watchdog.Reset(limit) })
 	}
 	if cause := context.Cause(ctx); out.err != nil && errors.Is(cause, errSilent) {
 		out.err = errSilent
@@ -185,8 +192,17 @@
 	errSlowServer      = errors.New("the server is slow and holds its group up")
 )
 
-// relay passes the answer on, event by event.
-func (s *stream) relay(out sent, p *place, watchdog *time.Timer) sent {
+// silenceOf returns the time without an event from which a server counts as lost: slow
+// streams whose callers still wait are sound.
+func silenceOf(route *deployment.Route) time.Duration {
+	callers := max(callerGoals*route.Goal, callerGaps*route.GapGoal)
+	return max(time.Duration(silenceShare*float64(callers)), silenceLimit)
+}
+
+// relay passes the answer on, event by event. It calls progress for each event with
+// data that the caller did not have: a server that sends comments, parts of events or
+// what it had sent before is silent all the same.
+func (s *stream) relay(out sent, p *place, progress func()) sent {
 	defer func() { _ = out.resp.Body.Close() }()
 	if out.resp.StatusCode != http.StatusOK {
 		return s.relayFailure(out)
@@ -208,11 +224,13 @@
 			out.err = errBrokenOff
 			return out
 		}
-		watchdog.Reset(silenceLimit)
 		if id >= 0 && id <= s.last {
 			// The server went on from an earlier event than asked.
 			continue
 		}
+		if events.data {
+			progress()
+		}
 		if _, err := s.w.Write(event); err != nil {
 			out.err = err
 			return out
@@ -221,8 +239,10 @@
 			out.err = err
 			return out
 		}
-		s.x.gotEvent()
-		s.passed(id)
+		if events.data {
+			s.x.gotEvent()
+			s.passed(id)
+		}
 		if s.shouldMove(p) {
 			out.err = errSlowServer
 			return out
--- /dev/null
+++ b/internal/gateway/trouble_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
+)
+
+// sendEvent writes an event and passes it on at once.
+func sendEvent(w http.ResponseWriter, event string) error {
+	if _, err := io.WriteString(w, event); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+// Guards against sound streams that are cut because they are slow: callers of a route
+// with a long goal or pause still wait.
+func TestSlowStreamsLive(t *testing.T) {
+	is := is.New(t)
+	slow := &deployment.Route{Goal: 2 * time.Second, GapGoal: 500 * time.Millisecond}
+	is.True(silenceOf(slow) > 6*time.Second)
+	is.True(silenceOf(slow) < 8*time.Second) // the caller would have left
+	patient := &deployment.Route{Goal: 100 * time.Millisecond, GapGoal: time.Second}
+	is.True(silenceOf(patient) > 6*time.Second)
+	usual := &deployment.Route{Goal: 500 * time.Millisecond, GapGoal: 120 * time.Millisecond}
+	is.Equal(silenceOf(usual), silenceLimit)
+}
+
+// Guards against streams that never end: a stalled server that sends comments, parts of
+// an event or old events now and then makes no progress, and the stream goes on at
+// another one.
+func TestStalledStreamsThatTrickleGoOnElsewhere(t *testing.T) {
+	for name, trickle := range map[string]string{
+		"comments":          ": still here\n\n",
+		"parts of an event": "data",
+		"old events":        "id: 0\ndata: part 0\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var first sync.Once
+			handle := func(w http.ResponseWriter, r *http.Request) {
+				stalled := false
+				first.Do(func() { stalled = true })
+				if !stalled {
+					eventsFrom(3, false)(w, r)
+					return
+				}
+				_ = sendEvent(w, "id: 0\ndata: part 0\n\n")
+				for r.Context().Err() == nil && sendEvent(w, trickle) == nil {
+					time.Sleep(200 * time.Millisecond)
+				}
+			}
+			w := newWorld(t, map[string][]*backend{"model": {newBackend(t, handle), newBackend(t, handle)}})
+			began := time.Now()
+			status, body, whole, _ := w.ask(t, http.MethodPost, "/stream/x")
+			is.Equal(status, http.StatusOK)
+			is.True(whole)
+			is.Equal(ids(t, body), []int{0, 1, 2, 3})
+			is.True(time.Since(began) < silenceLimit+time.Second)
+		})
+	}
+}
+
+// endless writes the same bytes until the reader closes.
+func endless(w io.Writer, begin, again string) {
+	if _, err := io.WriteString(w, begin); err != nil {
+		return
+	}
+	part := bytes.Repeat([]byte(again), 1+(32<<10)/len(again))
+	for {
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against bytes without end, in each place of an answer where a server in
+// trouble may send them: they end with a refusal or a failure, within the caller's
+// time, and don't fill the memory. The smallest machines have 184 MB.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const most = 32 << 20 // bytes that the process may grow by
+	places := map[string][2]string{
+		"status line":       {"HTTP/1.1 200 ", "x"},
+		"one header":        {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"headers":           {"HTTP/1.1 200 OK\r\n", "X-Y: z\r\n"},
+		"interim answers":   {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+		"body with length":  {"HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+		"body in chunks":    {"HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"body without end":  {"HTTP/1.1 200 OK\r\nId: %s\r\nConnection: close\r\n\r\n", "x"},
+		"one chunk size":    {"HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		"bytes, no answer":  {"", "\x00\xff"},
+		"trailers":          {"HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "T: z\r\n"},
+		"body of a failure": {"HTTP/1.1 500 Oops\r\nId: %s\r\nContent-Length: 9000000000\r\n\r\n", "x"},
+	}
+	for name, bytes := range places {
+		for _, path := range []string{"/safe/x", "/stream/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				is := is.New(t)
+				b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+					conn, _, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer func() { _ = conn.Close() }()
+					begin := bytes[0]
+					if name[:4] == "body" || name == "one chunk size" || name == "trailers" {
+						begin = fmt.Sprintf(begin, r.Header.Get("Id"))
+					}
+					endless(conn, begin, bytes[1])
+				})
+				w := newWorld(t, map[string][]*backend{"plain": {b}, "model": {b}})
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				began := time.Now()
+				status, _, whole, _ := w.ask(t, http.MethodGet, path)
+				took := time.Since(began)
+				runtime.ReadMemStats(&after)
+				is.True(took < 5*time.Second) // the route's limit is 4 s
+				is.True(after.HeapInuse < before.HeapInuse+most)
+				is.True(!whole || status != http.StatusOK)
+			})
+		}
+	}
+}
