peers, node: a bad datagram costs nothing else

Cause: a report that claims 2^40 ranks made the controller count to that number, and a panic in the handling of any datagram ended the process. Malformed ones were counted without a word of the reason.

Change: reports and counts are checked on arrival, a panic becomes an error with its stack, and each is logged (the sink bounds the lines).

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,8 @@
 	$(GO) test -run='^$$' -fuzz='^FuzzDocument$$' -fuzztime=$$((60000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/dynamic
 	$(GO) test -run='^$$' -fuzz='^FuzzVerify$$' -fuzztime=$$((200000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/ticket
 	$(GO) test -run='^$$' -fuzz='^FuzzRead$$' -fuzztime=$$((100000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/wire
+	$(GO) test -run='^$$' -fuzz='^FuzzDatagram$$' -fuzztime=$$((60000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/peers
+	$(GO) test -run='^$$' -fuzz='^FuzzEvents$$' -fuzztime=$$((60000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/gateway
 
 test: fmt-check vet lint build unit integration soak fuzz
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -242,7 +242,13 @@
 	}
 }
 
-func (p *gatewayProcess) malformed(error) { p.metrics.Scope.Counter("datagrams_malformed").Inc(1) }
+func (p *gatewayProcess) malformed(err error) { noteMalformed(p.metrics, p.recorder, err) }
+
+// noteMalformed counts and logs a datagram that can't be read or handled.
+func noteMalformed(m *metrics.Metrics, recorder *events.Recorder, err error) {
+	m.Scope.Counter("datagrams_malformed").Inc(1)
+	recorder.Record("datagram_malformed", "", events.F("error", err.Error()))
+}
 
 func (p *gatewayProcess) receive(m peers.Message) {
 	switch m := m.(type) {
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -60,7 +60,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		return socket.Receive(agent.Receive, func(error) { m.Scope.Counter("datagrams_malformed").Inc(1) })
+		return socket.Receive(agent.Receive, func(err error) { noteMalformed(m, recorder, err) })
 	})
 	group.Go(func() error {
 		<-running.Done()
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -186,6 +186,18 @@
 func (*Picks) kind() byte   { return kindPicks }
 func (*Group) kind() byte   { return kindGroup }
 
+// Valid reports whether a message can be true. A wrong size must not make its receiver
+// allocate or count without end.
+func (r *Report) Valid() bool {
+	return r.Rank >= 0 && r.Rank < MaxRanks && r.Size >= 0 && r.Size <= MaxRanks
+}
+
+// Valid reports whether a message can be true.
+func (p *Picks) Valid() bool { return p.Rank >= 0 && p.Rank < MaxRanks && p.Offset >= 0 }
+
+// MaxRanks bounds the ranks of a group; the users' largest has 72.
+const MaxRanks = 4096
+
 func newMessage(kind byte) Message {
 	switch kind {
 	case kindHello:
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -137,3 +137,45 @@
 	}
 	return out
 }
+
+// Guards against a single datagram that takes the process down: sizes that make its
+// receiver allocate or count without end, and a receiver that panics.
+func TestBadDatagramsCostNothingElse(t *testing.T) {
+	is := is.New(t)
+	for _, m := range []Message{
+		&Report{Group: "g", Rank: -1}, &Report{Group: "g", Size: 1 << 40}, &Report{Group: "g", Rank: 1 << 40},
+		&Picks{Group: "g", Rank: 1 << 40}, &Picks{Group: "g", Offset: -1},
+	} {
+		data, err := encode(m)
+		is.NoErr(err)
+		_, err = decode(data)
+		is.True(err != nil)
+	}
+	data, err := encode(&Report{Group: "g", Rank: 71, Size: 72})
+	is.NoErr(err)
+	_, err = decode(data)
+	is.NoErr(err)
+	is.True(handled(func(Message) { panic("not prepared") }, &Ask{}) != nil)
+	is.NoErr(handled(func(Message) {}, &Ask{}))
+}
+
+// Guards against datagrams that crash the decoder, or that it takes for something that
+// can't be true.
+func FuzzDatagram(f *testing.F) {
+	for _, m := range []Message{&Hello{}, &Ask{}, &Welcome{}, &Report{Size: 3}, &Picks{Counts: []byte{1}}, &Group{Ranks: make([]byte, rankBytes)}} {
+		data, err := encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := decode(data)
+		if err != nil {
+			return
+		}
+		if g, ok := m.(*Group); ok {
+			g.Unpack()
+		}
+	})
+}
--- a/internal/peers/socket.go
+++ b/internal/peers/socket.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -82,10 +83,24 @@
 			malformed(err)
 			continue
 		}
-		handle(m)
+		if err := handled(handle, m); err != nil {
+			malformed(err)
+		}
 	}
 }
 
+// handled calls handle and turns its panic into an error: a message that the receiver
+// is not prepared for costs that message and not the process.
+func handled(handle func(Message), m Message) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("handling a datagram of kind %d: %v\n%s", m.kind(), cause, debug.Stack())
+		}
+	}()
+	handle(m)
+	return nil
+}
+
 func decode(data []byte) (Message, error) {
 	if len(data) == 0 {
 		return nil, errors.New("empty datagram")
@@ -94,5 +109,11 @@
 	if m == nil {
 		return nil, fmt.Errorf("unknown kind of datagram: %d", data[0])
 	}
-	return m, cbor.Unmarshal(data[1:], m)
+	if err := cbor.Unmarshal(data[1:], m); err != nil {
+		return nil, err
+	}
+	if v, ok := m.(interface{ Valid() bool }); ok && !v.Valid() {
+		return nil, fmt.Errorf("a datagram of kind %d has ranks or counts that can't be", data[0])
+	}
+	return m, nil
 }
