--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -179,3 +179,19 @@
 		}
 	})
 }
+
+// Guards against contact to the store that a gateway had before it fell silent: it
+// proves nothing about the store since then.
+func TestStoreContactIsOfGatewaysThatAreHeard(t *testing.T) {
+	is := is.New(t)
+	v := newView(peer("a", 1, 1))
+	is.Equal(v.StoreContact(), time.Duration(0))
+	for name, contact := range map[string]time.Duration{"b": 5 * time.Second, "c": 0} {
+		other := peer(name, 2, 1)
+		other.StoreContactMS = contact.Milliseconds()
+		v.Heard(&Hello{From: other})
+	}
+	is.Equal(v.StoreContact(), 5*time.Second)
+	v.now = v.now.Add(aliveFor + time.Millisecond)
+	is.Equal(v.StoreContact(), time.Duration(0))
+}
