gateway: log attempts whose connection broke, with the parts of the prompt

The logs could not tell requests that crash a server from those that ran beside them: they had neither the parts of the prompt, nor whether the response had begun, nor how many events the server had sent. The event attempt_broken has these, and attempts_broken counts them. No decision changes.

--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -19,6 +19,9 @@
 	LastEvent int64
 	// PromptTokens and AnswerTokens are estimated lengths in tokens; 0 if unknown.
 	PromptTokens, AnswerTokens int
+	// PromptParts holds the IDs of the parts of the prompt that other requests may
+	// contain as well: all but the last.
+	PromptParts []string
 }
 
 // ForwardInfo is the information that the gateway adds to a request for a backend
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,9 @@
 	RetriesDenied tally.Counter
 	// Resumed counts the streams that were continued at another server.
 	Resumed tally.Counter
+	// Broken counts the attempts whose connection broke before the response was
+	// complete.
+	Broken tally.Counter
 	// Waited is the time that requests spend in the queue of a model service.
 	Waited tally.Histogram
 	// FirstEvent is the time from the arrival of a request to the first event of its
@@ -41,6 +44,7 @@
 		Refused:       scope.Counter("requests_refused"),
 		RetriesDenied: scope.Counter("retries_denied"),
 		Resumed:       scope.Counter("streams_resumed"),
+		Broken:        scope.Counter("attempts_broken"),
 		Waited:        scope.Histogram("queue_wait_seconds", latencyBuckets),
 		FirstEvent:    scope.Histogram("first_event_seconds", latencyBuckets),
 		Gap:           scope.Histogram("event_gap_seconds", latencyBuckets),
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -54,6 +54,7 @@
 		ctx, cancel = context.WithTimeout(ctx, g.attemptTimeout(r))
 		defer cancel()
 	}
+	sentAt := time.Now()
 	s := g.send(ctx, r, p, r.LastEvent)
 	if s.verdict != verdict.NotRun {
 		r.runs++
@@ -66,6 +67,9 @@
 			s.err = errors.New("the answer is too long to be kept")
 		}
 	}
+	if s.err != nil && s.verdict != verdict.NotRun && ctx.Err() == nil {
+		g.recordBroken(r, p, s, sentAt, 0)
+	}
 	switch {
 	case s.err != nil, retryable(s.resp.StatusCode) && s.verdict != verdict.NotRun:
 		g.recordFailure(ctx, r, p, s)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,7 +56,9 @@
 	// sentAt is when the request was sent to the current server. waited is the time
 	// until it got its first slot, firstEvent the time from its arrival to its first
 	// event, and maxGap the longest time between two events.
-	sentAt                     time.Time
+	sentAt time.Time
+	// eventsHere is the number of events with data that the current server has sent.
+	eventsHere                 int
 	waited, firstEvent, maxGap time.Duration
 }
 
@@ -165,7 +167,7 @@
 	limit := silenceLimitFor(s.r.route)
 	watchdog := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	s.sentAt = time.Now()
+	s.sentAt, s.eventsHere = time.Now(), 0
 	out := s.g.send(ctx, s.r, p, s.lastEvent)
 	if out.verdict != verdict.NotRun {
 		s.r.runs++
@@ -183,6 +185,9 @@
 		// The stream moves because the server is slow; that is not a failure.
 	case out.verdict != verdict.NotRun:
 		s.g.recordFailure(ctx, s.r, p, out)
+		if ctx.Err() == nil {
+			s.g.recordBroken(s.r, p, out, s.sentAt, s.eventsHere)
+		}
 	}
 	return out
 }
@@ -226,6 +231,9 @@
 			out.err = errBrokenOff
 			return out
 		}
+		if reader.data {
+			s.eventsHere++
+		}
 		if id >= 0 && id <= s.lastEvent {
 			// The server resumed from an earlier event than requested.
 			continue
