gateway: quarantine parts of prompts and requests that crash servers

Cause: a request is alike to others by more than its own bytes. The quarantine knew requests by account and whole body only, so requests that share a part and nothing else were new each time, and the gateways did not use it at all. The class of fault: an action with a shared cause is retried under another name, and each process judges alone. Each crash ends a whole group.

The fix, in internal/quarantine, which entry and agent use already: - A request has several fingerprints: its own, and one for each part of its prompt but the last. - Evidence: the server broke the connection before it sent an event, and nothing listens at its address any more. Requests that had events are no suspects. A crash counts only against the strongest evidence for it (response begun or not, under suspicion or not), and no longer once a quarantined fingerprint explains it. - A fingerprint that any gateway knows to be safe does not become suspect; it has to prove itself again, because a part may turn unsafe. - A suspect runs one request at a time over all gateways (a trial, which one gateway per service coordinates), and one trial runs at a server at a time. An event clears it; a crash in a trial quarantines it. Crashes outside a trial do so only from the third on, so servers that crash together blame nobody. - Quarantined requests get 503 at once, also while they wait in the queue, with not_run as verdict. A request that ran still gets 502. - Gateways send changes to each other at once. A Hello carries a digest; a gateway that is new, was cut off or lost a datagram receives what it lacks. At most 4,096 suspicions, 36 per repair, 63 parts per request and 256 trials.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -45,6 +45,9 @@
 		}
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerFailed, Status: status, Detail: s.cause()}
 	}
+	if refusal := g.refuseQuarantined(r); refusal != nil {
+		return refusal
+	}
 	if late {
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonDeadline, "the time limit passed before a server ran the request")
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,22 +1,263 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/balance"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
-const maxLoggedParts = 16
+const (
+	// maxParts bounds the parts of a prompt that are examined; a request with more is
+	// judged by the first ones.
+	maxParts = 63
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
+	// crashProbeTimeout limits the connection attempt that finds out whether a server has
+	// crashed.
+	crashProbeTimeout = 150 * time.Millisecond
+	// trialRetryInterval is the time between two attempts to begin the trial of a request.
+	trialRetryInterval = 60 * time.Millisecond
+	// plainTrialWait bounds the wait for a trial at a plain service.
+	plainTrialWait = 500 * time.Millisecond
+	// quarantineRetryAfter is the Retry-After value of a quarantined request. A
+	// quarantine lasts for minutes.
+	quarantineRetryAfter = time.Minute
+)
+
+// Suspicions exchanges suspicions with the other gateways.
+type Suspicions interface {
+	// Publish sends suspicions, and fingerprints that no longer count as safe.
+	Publish(suspicions []wire.Suspicion, doubted []uint64)
+	// BeginTrial reports whether a request under suspicion may run now at a server of the
+	// service.
+	BeginTrial(ctx context.Context, service string, t quarantine.Trial) bool
+	// EndTrial ends a trial that has begun.
+	EndTrial(service string, id uint64)
+}
+
+// fingerprints returns the fingerprint of the request, and those of the parts of its
+// prompt that other requests share.
+func fingerprints(r *request) []uint64 {
+	parts := r.PromptParts[:min(len(r.PromptParts), maxParts)]
+	out := make([]uint64, 0, len(parts)+1)
+	out = append(out, quarantine.Fingerprint(r.account, []byte(r.in.Method), []byte(r.in.Host), []byte(r.in.URL.RequestURI()), r.body))
+	for _, id := range parts {
+		out = append(out, quarantine.PropertyFingerprint("prompt part", id))
+	}
+	return out
+}
+
+// refuseQuarantined returns the refusal of a request that is quarantined and has not run,
+// or nil.
+func (g *Gateway) refuseQuarantined(r *request) *verdict.Error {
+	if state, _ := g.Quarantine.Check(r.fingerprints); state != quarantine.Quarantined {
+		return nil
+	}
+	g.Metrics.Quarantined.Inc(1)
+	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonQuarantined, "backend servers crash when they run requests like this one").
+		WithRetryAfter(quarantineRetryAfter)
+}
+
+// waitForRun waits for a slot and, if the request is under suspicion, for its trial. It
+// refuses a request that is quarantined or could not start in time.
+func (g *Gateway) waitForRun(ctx context.Context, x *service, r *request) (*slot, *verdict.Error) {
+	for {
+		if refusal := g.refuseQuarantined(r); refusal != nil {
+			return nil, refusal
+		}
+		p, refusal := g.waitForSlot(ctx, x, r)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if g.mayRun(ctx, r, p) {
+			return p, nil
+		}
+		p.release()
+		sleep(ctx, trialRetryInterval)
+	}
+}
+
+// tryRun returns a slot that is free now, or nil. It waits for the trial of a request
+// under suspicion, for a short time.
+func (g *Gateway) tryRun(ctx context.Context, x *service, r *request) *slot {
+	until := time.Now().Add(min(plainTrialWait, r.remaining()/2))
+	for {
+		if state, _ := g.Quarantine.Check(r.fingerprints); state == quarantine.Quarantined {
+			return nil
+		}
+		p := x.trySlot(balance.Constraint{Exclude: r.tried})
+		if p == nil || g.mayRun(ctx, r, p) {
+			return p
+		}
+		p.release()
+		if ctx.Err() != nil || time.Now().After(until) {
+			return nil
+		}
+		sleep(ctx, trialRetryInterval)
+	}
+}
+
+// mayRun reports whether the request may run at the server of a slot now. It begins a
+// trial if the request is under suspicion.
+func (g *Gateway) mayRun(ctx context.Context, r *request, p *slot) bool {
+	state, suspects := g.Quarantine.Check(r.fingerprints)
+	switch state {
+	case quarantine.Clear:
+		return true
+	case quarantine.Quarantined:
+		return false
+	}
+	if r.trial.ID == 0 {
+		r.trial.ID = rand.Uint64()
+	}
+	trial := quarantine.Trial{ID: r.trial.ID, Server: p.backend.Server.ID, Fingerprints: suspects}
+	if !g.Suspicions.BeginTrial(ctx, r.service.Name, trial) {
+		return false
+	}
+	r.trial = trial
+	g.Recorder.Record("trial_began", r.ID, events.F("server", trial.Server), events.F("fingerprints", formatFingerprints(suspects)))
+	return true
+}
+
+// endTrial ends the trial of a request if it has one.
+func (g *Gateway) endTrial(r *request) {
+	if r.trial.Server == "" {
+		return
+	}
+	g.Suspicions.EndTrial(r.service.Name, r.trial.ID)
+	r.trial = quarantine.Trial{ID: r.trial.ID}
+}
+
+// recordProven records that a server has begun to answer a request, which clears the
+// request of suspicion and ends its trial.
+func (g *Gateway) recordProven(r *request) {
+	if cleared := g.Quarantine.RecordSuccesses(r.fingerprints); len(cleared) > 0 {
+		g.Recorder.Record("suspicion_cleared", r.ID, events.F("count", len(cleared)))
+		g.Suspicions.Publish(cleared, nil)
+	}
+	g.endTrial(r)
+}
 
 // recordBroken logs and counts an attempt whose connection broke before the response was
-// complete. sentAt is when the request was sent to the server, and eventsHere the number
-// of events that the server has sent since.
+// complete. If the server has crashed and had not answered, the request comes under
+// suspicion. sentAt is when the request was sent to the server, and eventsHere the number
+// of events that the server has sent since. Requests that had events are no suspects:
+// they ran before the one that crashed the server.
 func (g *Gateway) recordBroken(r *request, p *slot, s sendResult, sentAt time.Time, eventsHere int) {
 	g.Metrics.Broken.Inc(1)
+	server := p.backend.Server
+	begun := s.resp != nil
 	parts := r.PromptParts[:min(len(r.PromptParts), maxLoggedParts)]
-	g.Recorder.Record("attempt_broken", r.ID, events.F("server", p.backend.Server.ID), events.F("route", r.route.Name),
-		events.F("account", string(r.account)), events.F("headers", s.reply.ID != ""), events.F("events", eventsHere),
+	g.Recorder.Record("attempt_broken", r.ID, events.F("server", server.ID), events.F("route", r.route.Name),
+		events.F("account", string(r.account)), events.F("headers", begun), events.F("events", eventsHere),
 		events.F("ms", time.Since(sentAt).Milliseconds()), events.F("parts", strings.Join(parts, ",")), events.F("cause", s.cause()))
+	if eventsHere > 0 || !refusesConnections(server.Address) {
+		return
+	}
+	isTrial := r.trial.Server != ""
+	suspected := r.fingerprints
+	if isTrial {
+		// The other fingerprints were not under suspicion and are not the cause.
+		suspected = r.trial.Fingerprints
+	}
+	suspicions, doubted := g.Quarantine.AddCrashes(suspected, r.account, wire.Crash{
+		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10), NotBegun: !begun, BeforeSuspicion: !isTrial,
+	})
+	state, _ := g.Quarantine.Check(suspected)
+	g.Metrics.ServersCrashed.Inc(1)
+	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("trial", isTrial),
+		events.F("suspected", formatSuspicions(suspicions)), events.F("doubted", len(doubted)), events.F("quarantined", state == quarantine.Quarantined))
+	g.Suspicions.Publish(suspicions, doubted)
+	g.CancelQuarantined()
+}
+
+// refusesConnections reports whether nothing listens at an address, as after a crash. A
+// server that is alive or cannot be reached does not count: its connections break for
+// other reasons.
+func refusesConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, crashProbeTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func formatSuspicions(suspicions []wire.Suspicion) string {
+	var f []uint64
+	for _, s := range suspicions {
+		f = append(f, s.Fingerprint)
+	}
+	return formatFingerprints(f)
+}
+
+func formatFingerprints(f []uint64) string {
+	var out []string
+	for _, x := range f[:min(len(f), maxLoggedParts)] {
+		out = append(out, strconv.FormatUint(x, 16))
+	}
+	return strings.Join(out, ",")
+}
+
+// waitingRequests holds the queued requests. They are refused as soon as they are
+// quarantined.
+type waitingRequests struct {
+	mu     sync.Mutex
+	cancel map[*request]context.CancelFunc
+}
+
+// acquire waits for a slot like service.acquire. It also ends when the request is
+// quarantined.
+func (g *Gateway) acquire(ctx context.Context, x *service, r *request, i *item) *slot {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &g.waiting
+	w.mu.Lock()
+	if w.cancel == nil {
+		w.cancel = map[*request]context.CancelFunc{}
+	}
+	w.cancel[r] = cancel
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		delete(w.cancel, r)
+		w.mu.Unlock()
+	}()
+	return x.acquire(ctx, i)
+}
+
+// CancelQuarantined ends the wait of the queued requests that are quarantined. It must be
+// called after suspicions have changed.
+func (g *Gateway) CancelQuarantined() {
+	g.waiting.mu.Lock()
+	defer g.waiting.mu.Unlock()
+	for r, cancel := range g.waiting.cancel {
+		if state, _ := g.Quarantine.Check(r.fingerprints); state == quarantine.Quarantined {
+			cancel()
+		}
+	}
+}
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/feed"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
@@ -73,6 +74,10 @@
 	RetryWindow            time.Duration
 	// MemoryBytes is the memory available to the process.
 	MemoryBytes int64
+	// Quarantine holds the suspicions that this gateway knows, and Suspicions exchanges
+	// them with the other gateways.
+	Quarantine *quarantine.Registry
+	Suspicions Suspicions
 }
 
 // Gateway is the http.Handler for callers' requests.
@@ -84,6 +89,7 @@
 	oneShotClient   *http.Client
 	bodyBytes       atomic.Int64
 	leaving         atomic.Bool
+	waiting         waitingRequests
 	// revocationDelay is Config.RevocationDelay in nanoseconds; a reload may change it.
 	revocationDelay atomic.Int64
 }
@@ -227,6 +233,10 @@
 	tried []string
 	// runs counts the servers that may have run the request.
 	runs int
+	// fingerprints identify the request and the properties that it shares with others.
+	fingerprints []uint64
+	// trial is the trial that the current attempt is, with no server if it is none.
+	trial quarantine.Trial
 }
 
 // routePriorities is the number of route priorities within each account priority: top,
@@ -281,7 +291,11 @@
 		timeout = min(timeout, r.route.Timeout)
 	}
 	r.deadline = r.arrived.Add(timeout)
-	return r, g.readBody(w, r, c.Limits)
+	if refusal := g.readBody(w, r, c.Limits); refusal != nil {
+		return r, refusal
+	}
+	r.fingerprints = fingerprints(r)
+	return r, nil
 }
 
 // authorize sets the route, the service and the client account of a request.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,8 +24,21 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/feed"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
+// localSuspicions is the exchange of a gateway that has no others beside it.
+type localSuspicions struct{ trials *quarantine.Trials }
+
+func (localSuspicions) Publish([]wire.Suspicion, []uint64) {}
+
+func (l localSuspicions) BeginTrial(_ context.Context, _ string, t quarantine.Trial) bool {
+	return l.trials.Begin(t)
+}
+
+func (l localSuspicions) EndTrial(_ string, id uint64) { l.trials.End(id) }
+
 // testHeaders implements Headers with header names of the tests.
 type testHeaders struct{}
 
@@ -34,6 +47,9 @@
 	if ms, err := strconv.Atoi(h.Get("Timeout")); err == nil {
 		c.Timeout, c.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
+	if parts := h.Get("Parts"); parts != "" {
+		c.PromptParts = strings.Split(parts, ",")
+	}
 	return c
 }
 
@@ -205,7 +221,8 @@
 	recorder := events.NewRecorder("test", 1, log)
 	f := feed.New(src, src, recorder, func() time.Duration { return 0 })
 	g := New(Config{Feed: f, Headers: testHeaders{}, Recorder: recorder, Metrics: NewMetrics(tally.NoopScope),
-		RevocationDelay: revocationDelay, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, MemoryBytes: 1 << 28})
+		RevocationDelay: revocationDelay, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, MemoryBytes: 1 << 28,
+		Quarantine: quarantine.NewRegistry(), Suspicions: localSuspicions{quarantine.NewTrials()}})
 	g.SetGateways(1, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,6 +19,9 @@
 	// Broken counts the attempts whose connection broke before the response was
 	// complete.
 	Broken tally.Counter
+	// Quarantined counts the requests that were refused because requests like them crash
+	// servers, and ServersCrashed the crashes that this gateway observed.
+	Quarantined, ServersCrashed tally.Counter
 	// Waited is the time that requests spend in the queue of a model service.
 	Waited tally.Histogram
 	// FirstEvent is the time from the arrival of a request to the first event of its
@@ -40,16 +43,18 @@
 // NewMetrics registers the metrics in a scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	m := &Metrics{
-		scope:         scope,
-		Refused:       scope.Counter("requests_refused"),
-		RetriesDenied: scope.Counter("retries_denied"),
-		Resumed:       scope.Counter("streams_resumed"),
-		Broken:        scope.Counter("attempts_broken"),
-		Waited:        scope.Histogram("queue_wait_seconds", latencyBuckets),
-		FirstEvent:    scope.Histogram("first_event_seconds", latencyBuckets),
-		Gap:           scope.Histogram("event_gap_seconds", latencyBuckets),
-		Took:          scope.Histogram("request_seconds", latencyBuckets),
-		codes:         map[int]tally.Counter{},
+		scope:          scope,
+		Refused:        scope.Counter("requests_refused"),
+		RetriesDenied:  scope.Counter("retries_denied"),
+		Resumed:        scope.Counter("streams_resumed"),
+		Broken:         scope.Counter("attempts_broken"),
+		Quarantined:    scope.Counter("requests_quarantined"),
+		ServersCrashed: scope.Counter("server_crashes_observed"),
+		Waited:         scope.Histogram("queue_wait_seconds", latencyBuckets),
+		FirstEvent:     scope.Histogram("first_event_seconds", latencyBuckets),
+		Gap:            scope.Histogram("event_gap_seconds", latencyBuckets),
+		Took:           scope.Histogram("request_seconds", latencyBuckets),
+		codes:          map[int]tally.Counter{},
 	}
 	for _, status := range []int{200, 400, 401, 404, 413, 421, 429, 500, 502, 503, 504} {
 		m.codes[status] = scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("requests_ended")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/coltsfootbay/coltsfootbay/internal/balance"
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
@@ -23,7 +22,7 @@
 	x := g.services.get(r.service.Name)
 	var last sendResult
 	for {
-		p := x.trySlot(balance.Constraint{Exclude: r.tried})
+		p := g.tryRun(ctx, x, r)
 		if p == nil {
 			g.finishFailed(ctx, w, r, last)
 			return
@@ -49,6 +48,7 @@
 // exchange sends a request and reads the whole response.
 func (g *Gateway) exchange(ctx context.Context, r *request, p *slot) (sendResult, []byte) {
 	defer p.release()
+	defer g.endTrial(r)
 	if r.route.Kind == deployment.Safe && len(r.tried)+1 < r.route.MaxServers {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, g.attemptTimeout(r))
@@ -75,6 +75,7 @@
 		g.recordFailure(ctx, r, p, s)
 	case s.verdict != verdict.NotRun:
 		p.service.pool.RecordSuccess(p.backend)
+		g.recordProven(r)
 	}
 	return s, body
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,7 +66,7 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *request) {
 	g.retryBudget.Request()
 	x := g.services.get(r.service.Name)
-	p, refusal := g.waitForSlot(ctx, x, r)
+	p, refusal := g.waitForRun(ctx, x, r)
 	if refusal != nil {
 		g.refuse(w, r, refusal)
 		return
@@ -104,9 +104,9 @@
 // continues immediately.
 func (s *stream) nextSlot(ctx context.Context, out sendResult) (*slot, *verdict.Error) {
 	if out.verdict == verdict.NotRun && s.r.runs == 0 {
-		return s.g.waitForSlot(ctx, s.service, s.r)
+		return s.g.waitForRun(ctx, s.service, s.r)
 	}
-	return s.service.trySlot(balance.Constraint{Exclude: s.r.tried}), nil
+	return s.g.tryRun(ctx, s.service, s.r), nil
 }
 
 // waitForSlot waits for a slot. It refuses a request that could not start in time.
@@ -129,9 +129,12 @@
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "the wait would be about %s", wait.Round(time.Millisecond)).
 			WithRetryAfter(g.retryAfter(r, wait))
 	}
-	p := x.acquire(ctx, i)
+	p := g.acquire(ctx, x, r, i)
 	g.Metrics.Waited.RecordDuration(time.Since(r.arrived))
 	if p == nil {
+		if refusal := g.refuseQuarantined(r); refusal != nil {
+			return nil, refusal
+		}
 		x.recordRefusal()
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "no place was free in %s",
 			time.Since(r.arrived).Round(time.Millisecond)).WithRetryAfter(g.retryAfter(r, wait))
@@ -160,6 +163,7 @@
 // the response is complete.
 func (s *stream) run(ctx context.Context, p *slot) sendResult {
 	defer p.release()
+	defer s.g.endTrial(s.r)
 	s.service.streamBegan()
 	defer s.service.streamEnded()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -185,7 +189,7 @@
 		// The stream moves because the server is slow; that is not a failure.
 	case out.verdict != verdict.NotRun:
 		s.g.recordFailure(ctx, s.r, p, out)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && out.err != errFailedByServer {
 			s.g.recordBroken(s.r, p, out, s.sentAt, s.eventsHere)
 		}
 	}
@@ -233,6 +237,9 @@
 		}
 		if reader.data {
 			s.eventsHere++
+			if s.eventsHere == 1 {
+				s.g.recordProven(s.r)
+			}
 		}
 		if id >= 0 && id <= s.lastEvent {
 			// The server resumed from an earlier event than requested.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/mapcontrol"
 	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 )
 
@@ -63,8 +64,10 @@
 	gateway  *gateway.Gateway
 	members  *peers.Members
 	socket   *peers.Socket
-	control  *mapcontrol.Controller
-	callers  *http.Server
+	// suspicions exchanges suspicions of requests that crash servers.
+	suspicions *peers.SuspicionExchange
+	control    *mapcontrol.Controller
+	callers    *http.Server
 }
 
 // RunGateway runs a gateway and logs to w. It returns nil after a graceful
@@ -99,14 +102,17 @@
 	p.recorder = events.NewRecorder(fleet.ProcessID(config.Name), p.start, w)
 	p.metrics = metrics.New(map[string]string{"process": config.Name})
 	p.feed = feed.New(adapter.Source, adapter.Documents, p.recorder, func() time.Duration { return p.members.LongestStoreConnection() })
+	p.members = peers.NewMembers(p.self, config.Peers.Seeds, p.recorder)
+	registry := quarantine.NewRegistry()
+	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
 	p.gateway = gateway.New(gateway.Config{
 		Zone: fleet.AvailabilityZone(config.Zone), Feed: p.feed, Headers: adapter.Headers, Recorder: p.recorder,
 		Metrics: gateway.NewMetrics(p.metrics.Scope), RevocationDelay: config.Bounds.RevocationDelay(),
 		RetryRatio: config.Bounds.RetryRatio, RetrySlack: config.Bounds.RetrySlack,
 		RetryWindow: time.Duration(config.Bounds.RetryWindowS * float64(time.Second)),
 		MemoryBytes: int64(config.Limits.MemoryMB) * 1e6,
+		Quarantine:  registry, Suspicions: p.suspicions,
 	})
-	p.members = peers.NewMembers(p.self, config.Peers.Seeds, p.recorder)
 	socket, err := peers.Open(config.Listen.Control)
 	if err != nil {
 		return nil, err
@@ -230,6 +236,7 @@
 
 func (p *gatewayProcess) sendHellos() {
 	to, hello := p.members.Tick()
+	hello.Suspicions = p.suspicions.Digest()
 	p.gateway.SetGateways(p.members.Count())
 	for _, address := range to {
 		p.send(address, hello)
@@ -239,12 +246,18 @@
 // send sends a datagram. A failure is only counted, because the senders of all
 // messages tolerate lost datagrams.
 func (p *gatewayProcess) send(address string, m peers.Message) {
-	if err := p.socket.Send(address, m); err != nil {
+	if err := p.trySend(address, m); errors.Is(err, peers.ErrTooLong) {
+		p.recorder.Record("datagram_too_long", "", events.F("error", err.Error()))
+	}
+}
+
+// trySend sends a datagram and counts and returns a failure.
+func (p *gatewayProcess) trySend(address string, m peers.Message) error {
+	err := p.socket.Send(address, m)
+	if err != nil {
 		p.metrics.Scope.Counter("datagrams_unsent").Inc(1)
-		if errors.Is(err, peers.ErrTooLong) {
-			p.recorder.Record("datagram_too_long", "", events.F("error", err.Error()))
-		}
 	}
+	return err
 }
 
 func (p *gatewayProcess) malformed(err error) { recordMalformed(p.metrics, p.recorder, err) }
@@ -259,6 +272,15 @@
 	switch m := m.(type) {
 	case *peers.Hello:
 		p.members.HandleHello(m)
+		p.suspicions.HandleHello(m)
+	case *peers.Suspicions:
+		p.suspicions.HandleSuspicions(m)
+	case *peers.TrialRequest:
+		p.suspicions.HandleTrialRequest(m)
+	case *peers.TrialReply:
+		p.suspicions.HandleTrialReply(m)
+	case *peers.TrialEnd:
+		p.suspicions.HandleTrialEnd(m)
 	case *peers.ControllerQuery:
 		p.send(m.Address, &peers.ControllerReply{Controller: p.members.Controller().ControlAddress, Gateways: p.otherGateways()})
 	case *peers.Report:
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 )
 
@@ -151,6 +153,21 @@
 	return out
 }
 
+// Coordinator returns the serving gateway that coordinates the trials of a service, by
+// rendezvous hashing. Gateways with different views of the others may briefly choose
+// different coordinators.
+func (m *Members) Coordinator(service string) Peer {
+	var best Peer
+	var highest uint64
+	for _, p := range m.Alive() {
+		h := xxhash.Sum64String(service + "\x00" + p.ControlAddress)
+		if best.ControlAddress == "" || p.Serving && !best.Serving || p.Serving == best.Serving && h > highest {
+			best, highest = p, h
+		}
+	}
+	return best
+}
+
 // Count returns the number of gateways. It is not settled shortly after the start, when
 // most gateways have not been discovered yet.
 func (m *Members) Count() (n int, settled bool) {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 // Message is the content of one datagram between processes.
@@ -18,6 +19,10 @@
 	kindReport
 	kindExpertCounts
 	kindGroup
+	kindSuspicions
+	kindTrialRequest
+	kindTrialReply
+	kindTrialEnd
 )
 
 // Peer describes a gateway to other gateways.
@@ -46,6 +51,37 @@
 	From Peer `cbor:"1,keyasint"`
 	// Known holds the control addresses of some other gateways.
 	Known []string `cbor:"2,keyasint,omitempty"`
+	// Suspicions is the digest of the sender's suspicions; 0 if it has none.
+	Suspicions uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Suspicions carries suspicions that the receiver merges, and fingerprints that no longer
+// count as safe.
+type Suspicions struct {
+	Suspicions []wire.Suspicion `cbor:"1,keyasint,omitempty"`
+	Doubted    []uint64         `cbor:"2,keyasint,omitempty"`
+}
+
+// TrialRequest asks the coordinator of a service whether a request under suspicion may run.
+type TrialRequest struct {
+	// From is the control address of the sender.
+	From string `cbor:"1,keyasint"`
+	// ID identifies the trial.
+	ID           uint64   `cbor:"2,keyasint"`
+	Server       string   `cbor:"3,keyasint"`
+	Fingerprints []uint64 `cbor:"4,keyasint"`
+}
+
+// TrialReply is the response to a TrialRequest.
+type TrialReply struct {
+	ID      uint64 `cbor:"1,keyasint"`
+	Server  string `cbor:"2,keyasint"`
+	Granted bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// TrialEnd tells the coordinator that a trial has ended.
+type TrialEnd struct {
+	ID uint64 `cbor:"1,keyasint"`
 }
 
 // ControllerQuery is sent by an agent without a controller to ask a gateway for one.
@@ -187,6 +223,10 @@
 func (*Report) kind() byte          { return kindReport }
 func (*ExpertCounts) kind() byte    { return kindExpertCounts }
 func (*Group) kind() byte           { return kindGroup }
+func (*Suspicions) kind() byte      { return kindSuspicions }
+func (*TrialRequest) kind() byte    { return kindTrialRequest }
+func (*TrialReply) kind() byte      { return kindTrialReply }
+func (*TrialEnd) kind() byte        { return kindTrialEnd }
 
 // Valid reports whether the rank and the size are within the bounds. An invalid size
 // could make the receiver allocate or iterate without limit.
@@ -214,6 +254,14 @@
 		return &ExpertCounts{}
 	case kindGroup:
 		return &Group{}
+	case kindSuspicions:
+		return &Suspicions{}
+	case kindTrialRequest:
+		return &TrialRequest{}
+	case kindTrialReply:
+		return &TrialReply{}
+	case kindTrialEnd:
+		return &TrialEnd{}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/peers/suspicions.go
@@ -0,0 +1,159 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+const (
+	// trialReplyTimeout is how long a gateway waits for the coordinator's reply to a
+	// TrialRequest.
+	trialReplyTimeout = 100 * time.Millisecond
+	// suspicionsPerMessage bounds the suspicions and doubted fingerprints of a message,
+	// which usually keeps it below maxDatagram.
+	suspicionsPerMessage = 12
+	// repairSuspicions bounds the suspicions that are sent to a gateway which has others.
+	repairSuspicions = 36
+)
+
+// SuspicionExchange keeps the suspicions of all gateways equal and coordinates trials.
+// Changes are sent to all gateways at once. A gateway that misses some of them, because
+// it is new, was cut off or lost a datagram, has another digest in its next Hello and
+// receives the most restricted suspicions again. It is safe for concurrent use.
+type SuspicionExchange struct {
+	self     string
+	registry *quarantine.Registry
+	members  *Members
+	trials   *quarantine.Trials
+	send     func(address string, m Message) error
+	// changed is called after suspicions from other gateways have changed the registry.
+	changed func()
+
+	mu sync.Mutex
+	// pending holds the channels on which the replies to this gateway's TrialRequests
+	// are expected, by ID.
+	pending map[uint64]chan TrialReply
+}
+
+// NewSuspicionExchange returns an exchange for the gateway with the control address self.
+func NewSuspicionExchange(self string, registry *quarantine.Registry, members *Members, send func(string, Message) error, changed func()) *SuspicionExchange {
+	return &SuspicionExchange{
+		self: self, registry: registry, members: members, trials: quarantine.NewTrials(), send: send, changed: changed,
+		pending: map[uint64]chan TrialReply{},
+	}
+}
+
+// Publish sends suspicions and doubted fingerprints to all other gateways.
+func (x *SuspicionExchange) Publish(suspicions []wire.Suspicion, doubted []uint64) {
+	for _, p := range x.members.Alive() {
+		if p.ControlAddress != x.self {
+			x.sendTo(p.ControlAddress, suspicions, doubted)
+		}
+	}
+}
+
+// sendTo sends suspicions and doubted fingerprints in messages that fit into datagrams.
+func (x *SuspicionExchange) sendTo(address string, suspicions []wire.Suspicion, doubted []uint64) {
+	for len(suspicions)+len(doubted) > 0 {
+		n := min(len(suspicions), suspicionsPerMessage)
+		d := min(len(doubted), suspicionsPerMessage)
+		for {
+			err := x.send(address, &Suspicions{Suspicions: suspicions[:n], Doubted: doubted[:d]})
+			if !errors.Is(err, ErrTooLong) || n <= 1 {
+				break
+			}
+			n /= 2
+		}
+		suspicions, doubted = suspicions[n:], doubted[d:]
+	}
+}
+
+// Digest returns the digest for the next Hello.
+func (x *SuspicionExchange) Digest() uint64 { return x.registry.Digest() }
+
+// HandleHello sends this gateway's suspicions to a gateway that has others.
+func (x *SuspicionExchange) HandleHello(h *Hello) {
+	if h.From.ControlAddress == x.self || h.Suspicions == x.registry.Digest() {
+		return
+	}
+	x.sendTo(h.From.ControlAddress, x.registry.MostRestricted(repairSuspicions), nil)
+}
+
+// HandleSuspicions merges the suspicions of another gateway.
+func (x *SuspicionExchange) HandleSuspicions(m *Suspicions) {
+	cleared, changed := x.registry.Receive(m.Suspicions, m.Doubted)
+	if len(cleared) > 0 {
+		x.Publish(cleared, nil)
+	}
+	if changed {
+		x.changed()
+	}
+}
+
+// BeginTrial asks the coordinator of a service whether a trial may begin now. It returns
+// false if there is no reply within trialReplyTimeout.
+func (x *SuspicionExchange) BeginTrial(ctx context.Context, service string, t quarantine.Trial) bool {
+	coordinator := x.members.Coordinator(service).ControlAddress
+	if coordinator == x.self {
+		return x.trials.Begin(t)
+	}
+	reply := make(chan TrialReply, 1)
+	x.mu.Lock()
+	x.pending[t.ID] = reply
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		delete(x.pending, t.ID)
+		x.mu.Unlock()
+	}()
+	if err := x.send(coordinator, &TrialRequest{From: x.self, ID: t.ID, Server: t.Server, Fingerprints: t.Fingerprints}); err != nil {
+		return false
+	}
+	timeout := time.NewTimer(trialReplyTimeout)
+	defer timeout.Stop()
+	select {
+	case r := <-reply:
+		return r.Granted && r.Server == t.Server
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// EndTrial tells the coordinator of a service that a trial has ended.
+func (x *SuspicionExchange) EndTrial(service string, id uint64) {
+	coordinator := x.members.Coordinator(service).ControlAddress
+	if coordinator == x.self {
+		x.trials.End(id)
+		return
+	}
+	// If the message is lost, the coordinator forgets the trial after a time.
+	_ = x.send(coordinator, &TrialEnd{ID: id})
+}
+
+// HandleTrialRequest decides about the trial of another gateway.
+func (x *SuspicionExchange) HandleTrialRequest(m *TrialRequest) {
+	granted := x.trials.Begin(quarantine.Trial{ID: m.ID, Server: m.Server, Fingerprints: m.Fingerprints})
+	// Without a reply, the gateway asks again.
+	_ = x.send(m.From, &TrialReply{ID: m.ID, Server: m.Server, Granted: granted})
+}
+
+// HandleTrialReply passes a reply to the waiting BeginTrial.
+func (x *SuspicionExchange) HandleTrialReply(m *TrialReply) {
+	x.mu.Lock()
+	reply := x.pending[m.ID]
+	x.mu.Unlock()
+	select {
+	case reply <- *m:
+	default:
+		// Nobody waits for this reply any more, or it came twice.
+	}
+}
+
+// HandleTrialEnd removes the trial of another gateway.
+func (x *SuspicionExchange) HandleTrialEnd(m *TrialEnd) { x.trials.End(m.ID) }
--- /dev/null
+++ b/internal/peers/suspicions_test.go
@@ -0,0 +1,139 @@
+package peers
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/wire"
+)
+
+// network connects exchanges in one process. Messages are encoded and decoded as datagrams.
+type network struct {
+	t         *testing.T
+	exchanges map[string]*SuspicionExchange
+	// cut holds the addresses that no message reaches.
+	cut  map[string]bool
+	sent int
+}
+
+type gatewayPeer struct {
+	Peer
+	registry *quarantine.Registry
+	members  *testMembers
+}
+
+// newNetwork returns a network of gateways that know each other.
+func newNetwork(t *testing.T, names ...string) (*network, map[string]*gatewayPeer) {
+	n := &network{t: t, exchanges: map[string]*SuspicionExchange{}, cut: map[string]bool{}}
+	gateways := map[string]*gatewayPeer{}
+	for i, name := range names {
+		self := peer(name, i+1, 1)
+		g := &gatewayPeer{Peer: self, registry: quarantine.NewRegistry(), members: newTestMembers(self)}
+		gateways[name] = g
+		for j, other := range names {
+			g.members.HandleHello(&Hello{From: peer(other, j+1, 1)})
+		}
+		n.exchanges[self.ControlAddress] = NewSuspicionExchange(self.ControlAddress, g.registry, g.members.Members, n.send, func() {})
+	}
+	return n, gateways
+}
+
+func (n *network) send(address string, m Message) error {
+	data, err := encode(m)
+	if err != nil {
+		return err
+	}
+	n.sent++
+	if n.cut[address] {
+		return nil
+	}
+	m, err = decode(data)
+	if err != nil {
+		n.t.Error(err)
+	}
+	x := n.exchanges[address]
+	switch m := m.(type) {
+	case *Suspicions:
+		x.HandleSuspicions(m)
+	case *TrialRequest:
+		x.HandleTrialRequest(m)
+	case *TrialReply:
+		x.HandleTrialReply(m)
+	case *TrialEnd:
+		x.HandleTrialEnd(m)
+	}
+	return nil
+}
+
+// hello delivers a Hello of one gateway to another.
+func (n *network) hello(from, to *gatewayPeer) {
+	digest := n.exchanges[from.ControlAddress].Digest()
+	n.exchanges[to.ControlAddress].HandleHello(&Hello{From: from.Peer, Suspicions: digest})
+}
+
+func quarantined(g *gatewayPeer, fingerprint uint64) bool {
+	state, _ := g.registry.Check([]uint64{fingerprint})
+	return state == quarantine.Quarantined
+}
+
+// Guards against a gateway that does not know of a quarantine because it was cut off, lost
+// a message or was started later, and against messages without end once all know it.
+func TestGatewayThatMissedSuspicionsLearnsThemFromHello(t *testing.T) {
+	is := is.New(t)
+	n, g := newNetwork(t, "a", "b", "c")
+	n.cut["c:1"] = true
+	for _, c := range []wire.Crash{{Agent: "x", BeforeSuspicion: true}, {Agent: "y"}} {
+		n.exchanges["a:1"].Publish(g["a"].registry.AddCrashes([]uint64{7}, "", c))
+	}
+	is.True(quarantined(g["b"], 7))
+	is.True(!quarantined(g["c"], 7))
+	n.cut["c:1"] = false
+	n.hello(g["c"], g["b"])
+	is.True(quarantined(g["c"], 7))
+	before := n.sent
+	n.hello(g["a"], g["c"])
+	n.hello(g["c"], g["a"])
+	is.Equal(n.sent, before)
+}
+
+// Guards against suspicions that do not fit into a datagram and are never sent.
+func TestManySuspicionsAreSplit(t *testing.T) {
+	is := is.New(t)
+	n, g := newNetwork(t, "a", "b")
+	long := make([]byte, 180)
+	for i := range long {
+		long[i] = 'x'
+	}
+	var fingerprints []uint64
+	for f := range uint64(64) {
+		fingerprints = append(fingerprints, f<<40)
+	}
+	n.exchanges["a:1"].Publish(g["a"].registry.AddCrashes(fingerprints, "", wire.Crash{Agent: "server-" + "x", ServerStart: string(long)}))
+	is.Equal(len(g["b"].registry.List()), len(fingerprints))
+	is.Equal(g["a"].registry.Digest(), g["b"].registry.Digest())
+}
+
+// Guards against trials of one part at two gateways at the same time, and against trials
+// without a coordinator that answers.
+func TestOneGatewayCoordinatesTrials(t *testing.T) {
+	is := is.New(t)
+	n, g := newNetwork(t, "a", "b", "c")
+	coordinator := g["a"].members.Coordinator("s").ControlAddress
+	is.Equal(coordinator, g["b"].members.Coordinator("s").ControlAddress)
+	ctx := context.Background()
+	trial := quarantine.Trial{ID: 1, Server: "x", Fingerprints: []uint64{1}}
+	other := quarantine.Trial{ID: 2, Server: "y", Fingerprints: []uint64{1}}
+	is.True(n.exchanges["a:1"].BeginTrial(ctx, "s", trial))
+	is.True(!n.exchanges["b:1"].BeginTrial(ctx, "s", other))
+	is.True(!n.exchanges["c:1"].BeginTrial(ctx, "s", other))
+	n.exchanges["a:1"].EndTrial("s", 1)
+	is.True(n.exchanges["b:1"].BeginTrial(ctx, "s", other))
+	n.exchanges["b:1"].EndTrial("s", 2)
+	n.cut[coordinator] = true
+	for address, x := range n.exchanges {
+		is.Equal(x.BeginTrial(ctx, "s", trial), address == coordinator)
+	}
+}
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -19,6 +19,8 @@
 	crashes []wire.Crash
 	lifts   uint32
 	expires time.Time
+	// confirmed is true once the crashes amounted to a quarantine.
+	confirmed bool
 }
 
 func (e *entry) toSuspicion(fingerprint uint64, now time.Time) wire.Suspicion {
@@ -43,8 +45,9 @@
 
 func (r *Registry) lift(fingerprint uint64, e *entry) wire.Suspicion {
 	now := r.now()
+	r.digestAt = time.Time{}
 	e.lifts++
-	e.crashes = nil
+	e.crashes, e.confirmed = nil, false
 	// The cleared entry must be kept longer than every copy of the crashes that
 	// it invalidates.
 	e.expires = now.Add(suspicionLifetime)
@@ -65,7 +68,13 @@
 		e = &entry{account: s.Account, lifts: s.Lifts}
 		r.entries[s.Fingerprint] = e
 	}
+	for _, c := range s.Crashes {
+		r.strengthen(idOf(c), evidenceOf(c))
+	}
 	changed := e.add(s) || !known
+	if changed {
+		r.digestAt = time.Time{}
+	}
 	if len(e.crashes) > 0 {
 		r.knownSafe.remove(s.Fingerprint)
 	}
@@ -89,7 +98,7 @@
 	}
 	changed := s.Lifts > e.lifts
 	if changed {
-		e.lifts, e.crashes = s.Lifts, nil
+		e.lifts, e.crashes, e.confirmed = s.Lifts, nil, false
 	}
 	before := slices.Clone(e.crashes)
 	e.crashes = slices.Concat(e.crashes, s.Crashes)
@@ -106,23 +115,37 @@
 	var leastFingerprint uint64
 	var least *entry
 	for fingerprint, e := range r.entries {
-		if least == nil || compareRestriction(e, fingerprint, least, leastFingerprint) < 0 {
+		if least == nil || r.compareRestriction(e, fingerprint, least, leastFingerprint) < 0 {
 			leastFingerprint, least = fingerprint, e
 		}
 	}
 	delete(r.entries, leastFingerprint)
 }
 
-func compareRestriction(a *entry, fingerprintA uint64, b *entry, fingerprintB uint64) int {
+func (r *Registry) compareRestriction(a *entry, fingerprintA uint64, b *entry, fingerprintB uint64) int {
 	return cmp.Or(
-		cmp.Compare(min(len(a.crashes), quarantineCrashes), min(len(b.crashes), quarantineCrashes)),
+		cmp.Compare(r.state(a), r.state(b)),
 		a.expires.Compare(b.expires),
 		cmp.Compare(fingerprintA, fingerprintB),
 	)
 }
 
 func compareCrash(a, b wire.Crash) int {
-	return cmp.Or(cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.ServerStart, b.ServerStart))
+	return cmp.Or(
+		cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.ServerStart, b.ServerStart),
+		compareBool(a.BeforeSuspicion, b.BeforeSuspicion), compareBool(a.NotBegun, b.NotBegun),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 func compareFingerprint(a, b wire.Suspicion) int {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 // Package quarantine records which requests were running when backend servers
 // crashed, and decides whether further requests with the same fingerprint may
-// run. This prevents one request from crashing all servers.
+// run. This prevents one request, or requests that share a property, from crashing
+// all servers. A fingerprint identifies a whole request or one such property.
 package quarantine
 
 import (
@@ -33,8 +34,10 @@
 	// expires.
 	suspicionLifetime = 10 * time.Minute
 	// quarantineCrashes is the number of distinct crashes from which on a
-	// fingerprint is quarantined.
+	// fingerprint is quarantined, if one of them happened under suspicion.
 	quarantineCrashes = 2
+	// unconfirmedCrashes is the same number if none happened under suspicion.
+	unconfirmedCrashes = 3
 	// maxEntries bounds the entries of the registry. Beyond it the entry with the
 	// fewest crashes, and among those the one that expires first, is deleted.
 	maxEntries = 4096
@@ -45,23 +48,43 @@
 type Registry struct {
 	now func() time.Time
 
-	mu        sync.Mutex
-	entries   map[uint64]*entry
-	knownSafe knownSafe
+	mu      sync.Mutex
+	entries map[uint64]*entry
+	// knownSafe holds the fingerprints of recently completed requests.
+	knownSafe recentMap[uint64, struct{}]
+	// strongest holds the strongest evidence that exists for a recent crash.
+	strongest recentMap[crashID, evidence]
+	// digest is the result of Digest at digestAt; it is zero after a change.
+	digest   uint64
+	digestAt time.Time
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{now: time.Now, entries: map[uint64]*entry{}, knownSafe: newKnownSafe()}
+	return &Registry{now: time.Now, entries: map[uint64]*entry{}, knownSafe: newRecentMap[uint64, struct{}](), strongest: newRecentMap[crashID, evidence]()}
 }
 
-// Fingerprint returns a 64-bit hash of a client account and a request body, which
-// identifies requests of an account with the same content.
-func Fingerprint(account fleet.ClientAccount, body []byte) uint64 {
+// Fingerprint returns a 64-bit hash of a client account and the contents of a request,
+// which identifies requests of an account with the same contents.
+func Fingerprint(account fleet.ClientAccount, contents ...[]byte) uint64 {
 	d := xxhash.New()
 	_, _ = d.WriteString(string(account))
+	for _, content := range contents {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.Write(content)
+	}
+	return d.Sum64()
+}
+
+// PropertyFingerprint returns a 64-bit hash that identifies the requests of all accounts
+// that have the same value of a property.
+func PropertyFingerprint(property, value string) uint64 {
+	d := xxhash.New()
+	// No account begins with a zero byte.
 	_, _ = d.Write([]byte{0})
-	_, _ = d.Write(body)
+	_, _ = d.WriteString(property)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(value)
 	return d.Sum64()
 }
 
@@ -69,6 +92,12 @@
 func (r *Registry) AddCrash(fingerprint uint64, account fleet.ClientAccount, crash wire.Crash) wire.Suspicion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	s := r.addCrash(fingerprint, account, crash)
+	r.confirm([]uint64{fingerprint})
+	return s
+}
+
+func (r *Registry) addCrash(fingerprint uint64, account fleet.ClientAccount, crash wire.Crash) wire.Suspicion {
 	s := wire.Suspicion{
 		Fingerprint: fingerprint,
 		Account:     account,
@@ -86,23 +115,25 @@
 func (r *Registry) State(fingerprint uint64) State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.find(fingerprint)
-	switch {
-	case e == nil || len(e.crashes) == 0:
-		return Clear
-	case len(e.crashes) < quarantineCrashes:
-		return Suspect
+	return r.stateOf(fingerprint)
+}
+
+func (r *Registry) stateOf(fingerprint uint64) State {
+	if e := r.find(fingerprint); e != nil {
+		return r.state(e)
 	}
-	return Quarantined
+	return Clear
 }
 
 // Counts returns the numbers of suspect and of quarantined fingerprints.
 func (r *Registry) Counts() (suspected, quarantined int) {
-	for _, s := range r.List() {
-		switch n := len(s.Crashes); {
-		case n >= quarantineCrashes:
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for fingerprint := range r.entries {
+		switch r.stateOf(fingerprint) {
+		case Quarantined:
 			quarantined++
-		case n > 0:
+		case Suspect:
 			suspected++
 		}
 	}
@@ -114,8 +145,7 @@
 func (r *Registry) KnownSafe(fingerprint uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.find(fingerprint)
-	return (e == nil || len(e.crashes) == 0) && r.knownSafe.has(fingerprint)
+	return r.stateOf(fingerprint) == Clear && r.knownSafe.has(fingerprint)
 }
 
 // CrashedAgents returns the agents whose servers crashed while running a request
@@ -134,15 +164,19 @@
 	return out
 }
 
-// RecordSuccess records that a request completed, and clears a suspicion of a
-// single crash. It returns the cleared suspicion, which must be published, or
+// RecordSuccess records that a request completed, and clears a suspicion that is not
+// confirmed. It returns the cleared suspicion, which must be published, or
 // false if there was none.
 func (r *Registry) RecordSuccess(fingerprint uint64) (s wire.Suspicion, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.knownSafe.add(fingerprint)
+	return r.recordSuccess(fingerprint)
+}
+
+func (r *Registry) recordSuccess(fingerprint uint64) (s wire.Suspicion, ok bool) {
+	r.knownSafe.set(fingerprint, struct{}{})
 	e := r.find(fingerprint)
-	if e == nil || len(e.crashes) != 1 {
+	if e == nil || r.state(e) != Suspect {
 		return wire.Suspicion{}, false
 	}
 	return r.lift(fingerprint, e), true
@@ -167,11 +201,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changed []wire.Suspicion
+	var fingerprints []uint64
 	for _, s := range suspicions {
 		if e, updated := r.merge(s); updated {
 			changed = append(changed, e.toSuspicion(s.Fingerprint, r.now()))
+			fingerprints = append(fingerprints, s.Fingerprint)
 		}
 	}
+	r.confirm(fingerprints)
 	return changed
 }
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -19,7 +19,8 @@
 
 func drawSuspicions(t *rapid.T, label string) []wire.Suspicion {
 	crash := rapid.Custom(func(t *rapid.T) wire.Crash {
-		return wire.Crash{Agent: fleet.ProcessID(rapid.StringMatching("[ab]").Draw(t, "agent")), ServerStart: rapid.StringMatching("[0-9]").Draw(t, "start")}
+		return wire.Crash{Agent: fleet.ProcessID(rapid.StringMatching("[ab]").Draw(t, "agent")), ServerStart: rapid.StringMatching("[0-9]").Draw(t, "start"),
+			NotBegun: rapid.Bool().Draw(t, "notBegun"), BeforeSuspicion: rapid.Bool().Draw(t, "beforeSuspicion")}
 	})
 	one := rapid.Custom(func(t *rapid.T) wire.Suspicion {
 		return wire.Suspicion{
@@ -122,8 +123,8 @@
 	is.Equal(len(r.CrashedAgents(1)), 1)
 	r.Merge([]wire.Suspicion{{Fingerprint: 1, Remaining: s.Remaining, Lifts: 1}})
 	is.True(!r.KnownSafe(1))
-	for i := range uint64(4 * fingerprintsPerGeneration) {
+	for i := range uint64(4 * generationSize) {
 		r.RecordSuccess(i + 10)
 	}
-	is.True(len(r.knownSafe.current)+len(r.knownSafe.previous) <= 2*fingerprintsPerGeneration)
+	is.True(len(r.knownSafe.current)+len(r.knownSafe.previous) <= 2*generationSize)
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -168,10 +168,16 @@
 }
 
 // Crash identifies a backend server start that crashed while a request ran on
-// it.
+// it. Agent names the server's agent, or the server itself if it has none.
 type Crash struct {
 	Agent       fleet.ProcessID `cbor:"1,keyasint"`
 	ServerStart string          `cbor:"2,keyasint"`
+	// NotBegun is true if the response to the request had not begun. Such a crash
+	// does not count if the response to another request had begun.
+	NotBegun bool `cbor:"3,keyasint,omitempty"`
+	// BeforeSuspicion is true if the request was sent before its fingerprint was
+	// under suspicion, possibly together with others.
+	BeforeSuspicion bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Suspicion lists the backend server starts that crashed while a request ran on
