gateway: a stream that ends with its connection before its first event is broken off

What callers saw: an empty, complete stream, when a server's response had neither a length nor chunks and the connection was closed before the first event, as a server that ends cleanly in that moment does.

Cause: the end of such a response is the end of the connection, so nothing says whether it is complete. After an event the boundary of events tells; before the first there is nothing to tell. Now such a stream is broken off: resumed where that is allowed.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -228,7 +228,7 @@
 	flusher := http.NewResponseController(s.w)
 	for {
 		event, id, err := reader.next()
-		if errors.Is(err, io.EOF) && !reader.rest() {
+		if errors.Is(err, io.EOF) && !reader.rest() && (s.eventsHere > 0 || !endsWithConnection(out.resp)) {
 			return out
 		}
 		if err != nil {
@@ -267,6 +267,12 @@
 	}
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks. If such
+// a response ends before its first event, its server has probably ended.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // shouldMoveStream reports whether a stream should continue at another server, and
 // takes the retry from the budget. Load pattern: one rank becomes slow. All ranks of
 // its group wait for the requests that it runs, until those end.
