quarantine: one conclusive crash suffices, and a set of parts is blamed as a set

Cause: one crash was never taken as proof, although the evidence often leaves no doubt; and a crash of a request with several suspects counted against each of them.

The fix: a suspicion can apply to a set of fingerprints, of which one is the cause. A request is refused if it has all members that are still under suspicion; a member that any request proves to be safe leaves the set.

Tests: TestConclusiveCrashQuarantinesForShortTime, TestTrialOfSeveralPartsDoesNotQuarantineEach, TestSeveralBegunRequestsAreNotConclusive.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -169,15 +169,12 @@
 		return
 	}
 	isTrial := r.trial.Server != ""
-	suspected := r.fingerprints
-	if isTrial {
-		// The other fingerprints were not under suspicion and are not the cause.
-		suspected = r.trial.Fingerprints
-	}
-	suspicions, doubted := g.Quarantine.AddCrashes(suspected, r.account, wire.Crash{
-		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10), NotBegun: !begun, BeforeSuspicion: !isTrial,
+	suspicions, doubted := g.Quarantine.AddBlame(quarantine.Blame{
+		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.trial.Fingerprints,
+		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10),
+		Begun: begun, Conclusive: p.service.headerLead.isShort(),
 	})
-	state, _ := g.Quarantine.Check(suspected)
+	state, _ := g.Quarantine.Check(r.fingerprints)
 	g.Metrics.ServersCrashed.Inc(1)
 	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("trial", isTrial),
 		events.F("suspected", formatSuspicions(suspicions)), events.F("doubted", len(doubted)), events.F("quarantined", state == quarantine.Quarantined))
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -12,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
-	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 const crashPart = "dead"
@@ -139,8 +138,8 @@
 	time.Sleep(100 * time.Millisecond)
 	is.Equal(len(ended), 0)
 	fingerprint := []uint64{quarantine.PropertyFingerprint("prompt part", crashPart)}
-	w.gateway.Quarantine.AddCrashes(fingerprint, "", wire.Crash{Agent: "a", BeforeSuspicion: true})
-	w.gateway.Quarantine.AddCrashes(fingerprint, "", wire.Crash{Agent: "b"})
+	w.gateway.Quarantine.AddBlame(quarantine.Blame{Properties: fingerprint, Agent: "a"})
+	w.gateway.Quarantine.AddBlame(quarantine.Blame{Tried: fingerprint, Agent: "b"})
 	w.gateway.CancelQuarantined()
 	select {
 	case status := <-ended:
@@ -165,7 +164,7 @@
 	}
 	w := newTestGateway(t, map[string][]*backend{"model": {newBackend(t, handle), newBackend(t, handle), newBackend(t, handle)}})
 	fingerprint := []uint64{quarantine.PropertyFingerprint("prompt part", "p")}
-	w.gateway.Quarantine.AddCrashes(fingerprint, "", wire.Crash{Agent: "a", BeforeSuspicion: true})
+	w.gateway.Quarantine.AddBlame(quarantine.Blame{Properties: fingerprint, Agent: "a"})
 	var wait sync.WaitGroup
 	for range 6 {
 		wait.Go(func() { w.ask(t, "POST", "/stream/once/x", withParts("p")) })
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -54,6 +54,7 @@
 	// in nanoseconds since processStart.
 	lastRefusal atomic.Int64
 	reserve     reserve
+	headerLead  headerLead
 }
 
 const (
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,7 +57,9 @@
 	// until it got its first slot, firstEvent the time from its arrival to its first
 	// event, and maxGap the longest time between two events.
 	sentAt time.Time
-	// eventsHere is the number of events with data that the current server has sent.
+	// headersAt is when the current server's headers arrived, and eventsHere the number
+	// of events with data that it has sent.
+	headersAt                  time.Time
 	eventsHere                 int
 	waited, firstEvent, maxGap time.Duration
 }
@@ -173,6 +175,7 @@
 	defer watchdog.Stop()
 	s.sentAt, s.eventsHere = time.Now(), 0
 	out := s.g.send(ctx, s.r, p, s.lastEvent)
+	s.headersAt = time.Now()
 	if out.verdict != verdict.NotRun {
 		s.r.runs++
 	}
@@ -238,6 +241,7 @@
 		if reader.data {
 			s.eventsHere++
 			if s.eventsHere == 1 {
+				s.service.headerLead.record(time.Since(s.headersAt))
 				s.g.recordProven(s.r)
 			}
 		}
--- a/internal/peers/suspicions_test.go
+++ b/internal/peers/suspicions_test.go
@@ -7,7 +7,6 @@
 	"github.com/matryer/is"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
-	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 // network connects exchanges in one process. Messages are encoded and decoded as datagrams.
@@ -85,8 +84,8 @@
 	is := is.New(t)
 	n, g := newNetwork(t, "a", "b", "c")
 	n.cut["c:1"] = true
-	for _, c := range []wire.Crash{{Agent: "x", BeforeSuspicion: true}, {Agent: "y"}} {
-		n.exchanges["a:1"].Publish(g["a"].registry.AddCrashes([]uint64{7}, "", c))
+	for _, b := range []quarantine.Blame{{Request: 7, Agent: "x"}, {Request: 7, Tried: []uint64{7}, Agent: "y"}} {
+		n.exchanges["a:1"].Publish(g["a"].registry.AddBlame(b))
 	}
 	is.True(quarantined(g["b"], 7))
 	is.True(!quarantined(g["c"], 7))
@@ -111,8 +110,10 @@
 	for f := range uint64(64) {
 		fingerprints = append(fingerprints, f<<40)
 	}
-	n.exchanges["a:1"].Publish(g["a"].registry.AddCrashes(fingerprints, "", wire.Crash{Agent: "server-" + "x", ServerStart: string(long)}))
-	is.Equal(len(g["b"].registry.List()), len(fingerprints))
+	n.exchanges["a:1"].Publish(g["a"].registry.AddBlame(quarantine.Blame{
+		Request: 1, Properties: fingerprints, Agent: "x", ServerStart: string(long), Begun: true, Conclusive: true,
+	}))
+	is.Equal(len(g["b"].registry.List()), len(fingerprints)+2)
 	is.Equal(g["a"].registry.Digest(), g["b"].registry.Digest())
 }
 
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -13,12 +13,18 @@
 // kept, which makes the result independent of the order of merges.
 const maxCrashes = 8
 
+// maxMembers bounds the members of an entry.
+const maxMembers = 64
+
 // entry holds the crashes attributed to one fingerprint, sorted and distinct.
 type entry struct {
 	account fleet.ClientAccount
 	crashes []wire.Crash
 	lifts   uint32
 	expires time.Time
+	// members is set if the entry applies to a set of fingerprints; see
+	// wire.Suspicion.Members.
+	members []uint64
 	// confirmed is true once the crashes amounted to a quarantine.
 	confirmed bool
 }
@@ -30,6 +36,7 @@
 		Crashes:     slices.Clone(e.crashes),
 		Remaining:   e.expires.Sub(now).Milliseconds(),
 		Lifts:       e.lifts,
+		Members:     e.members,
 	}
 }
 
@@ -37,12 +44,17 @@
 func (r *Registry) find(fingerprint uint64) *entry {
 	e := r.entries[fingerprint]
 	if e != nil && !r.now().Before(e.expires) {
-		delete(r.entries, fingerprint)
+		r.delete(fingerprint)
 		return nil
 	}
 	return e
 }
 
+func (r *Registry) delete(fingerprint uint64) {
+	delete(r.entries, fingerprint)
+	delete(r.joint, fingerprint)
+}
+
 func (r *Registry) lift(fingerprint uint64, e *entry) wire.Suspicion {
 	now := r.now()
 	r.digestAt = time.Time{}
@@ -65,11 +77,14 @@
 	}
 	known := e != nil
 	if !known {
-		e = &entry{account: s.Account, lifts: s.Lifts}
+		e = &entry{account: s.Account, lifts: s.Lifts, members: s.Members[:min(len(s.Members), maxMembers)]}
 		r.entries[s.Fingerprint] = e
+		if len(e.members) > 0 {
+			r.joint[s.Fingerprint] = struct{}{}
+		}
 	}
 	for _, c := range s.Crashes {
-		r.strengthen(idOf(c), evidenceOf(c))
+		r.noteCrash(c)
 	}
 	changed := e.add(s) || !known
 	if changed {
@@ -119,7 +134,7 @@
 			leastFingerprint, least = fingerprint, e
 		}
 	}
-	delete(r.entries, leastFingerprint)
+	r.delete(leastFingerprint)
 }
 
 func (r *Registry) compareRestriction(a *entry, fingerprintA uint64, b *entry, fingerprintB uint64) int {
@@ -134,6 +149,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.ServerStart, b.ServerStart),
 		compareBool(a.BeforeSuspicion, b.BeforeSuspicion), compareBool(a.NotBegun, b.NotBegun),
+		cmp.Compare(a.Request, b.Request), compareBool(a.Conclusive, b.Conclusive),
 	)
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"slices"
+
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
@@ -41,11 +43,28 @@
 	return begunTried
 }
 
-// strengthen records evidence for a crash.
-func (r *Registry) strengthen(id crashID, found evidence) {
-	if known, ok := r.strongest.get(id); !ok || found > known {
-		r.strongest.set(id, found)
+// crashInfo is what is known of a crash.
+type crashInfo struct {
+	// strongest is the strongest evidence against any fingerprint.
+	strongest evidence
+	// request is the fingerprint of a request whose response had begun and which has
+	// properties that were not known to be safe, 0 if there is none; several is true if
+	// there is another.
+	request uint64
+	several bool
+}
+
+// noteCrash adds what a crash report says to what is known of the crash.
+func (r *Registry) noteCrash(c wire.Crash) {
+	info, _ := r.crashes.get(idOf(c))
+	info.strongest = max(info.strongest, evidenceOf(c))
+	switch {
+	case info.request == 0:
+		info.request = c.Request
+	case c.Request != 0 && c.Request != info.request:
+		info.several = true
 	}
+	r.crashes.set(idOf(c), info)
 }
 
 // state returns the state that the crashes of e amount to. A crash under suspicion
@@ -55,10 +74,13 @@
 	if e.confirmed {
 		return Quarantined
 	}
+	if len(e.members) > 0 {
+		return r.jointState(e)
+	}
 	count, underSuspicion := 0, false
 	var last wire.Crash
 	for _, c := range e.crashes {
-		if strongest, _ := r.strongest.get(idOf(c)); evidenceOf(c) < strongest {
+		if info, _ := r.crashes.get(idOf(c)); evidenceOf(c) < info.strongest {
 			continue
 		}
 		underSuspicion = underSuspicion || !c.BeforeSuspicion
@@ -76,19 +98,58 @@
 	return Clear
 }
 
+// jointState returns the state of an entry with members. Evidence that was conclusive for
+// its sender is not if the response to another request had begun.
+func (r *Registry) jointState(e *entry) State {
+	for _, c := range e.crashes {
+		if info, _ := r.crashes.get(idOf(c)); !c.Conclusive || !info.several {
+			return Quarantined
+		}
+	}
+	return Clear
+}
+
+// quarantinesJointly reports whether a request with the fingerprints has all members of a
+// quarantined entry that are still under suspicion. A member that was cleared since is not
+// the cause.
+func (r *Registry) quarantinesJointly(fingerprints []uint64) bool {
+	for f := range r.joint {
+		e := r.find(f)
+		if e == nil || r.state(e) != Quarantined {
+			continue
+		}
+		left, has := 0, 0
+		for _, member := range e.members {
+			if r.stateOf(member) == Clear {
+				continue
+			}
+			left++
+			if slices.Contains(fingerprints, member) {
+				has++
+			}
+		}
+		if left > 0 && has == left {
+			return true
+		}
+	}
+	return false
+}
+
 // confirm quarantines those of the fingerprints whose crashes amount to it. These
 // explain their crashes, which then no longer count against other fingerprints.
 func (r *Registry) confirm(fingerprints []uint64) {
 	var confirmed []*entry
 	for _, f := range fingerprints {
-		if e := r.find(f); e != nil && !e.confirmed && r.state(e) == Quarantined {
+		if e := r.find(f); e != nil && len(e.members) == 0 && !e.confirmed && r.state(e) == Quarantined {
 			confirmed = append(confirmed, e)
 		}
 	}
 	for _, e := range confirmed {
 		e.confirmed = true
 		for _, c := range e.crashes {
-			r.strengthen(idOf(c), explained)
+			info, _ := r.crashes.get(idOf(c))
+			info.strongest = explained
+			r.crashes.set(idOf(c), info)
 		}
 	}
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -33,6 +33,9 @@
 	// suspicionLifetime is the time after its last change at which a suspicion
 	// expires.
 	suspicionLifetime = 10 * time.Minute
+	// conclusiveLifetime is the time for which conclusive evidence from a single crash
+	// quarantines. After it, one request is tried.
+	conclusiveLifetime = 30 * time.Second
 	// quarantineCrashes is the number of distinct crashes from which on a
 	// fingerprint is quarantined, if one of them happened under suspicion.
 	quarantineCrashes = 2
@@ -52,8 +55,10 @@
 	entries map[uint64]*entry
 	// knownSafe holds the fingerprints of recently completed requests.
 	knownSafe recentMap[uint64, struct{}]
-	// strongest holds the strongest evidence that exists for a recent crash.
-	strongest recentMap[crashID, evidence]
+	// joint holds the fingerprints of the entries with members.
+	joint map[uint64]struct{}
+	// crashes holds what is known of recent crashes.
+	crashes recentMap[crashID, crashInfo]
 	// digest is the result of Digest at digestAt; it is zero after a change.
 	digest   uint64
 	digestAt time.Time
@@ -61,7 +66,10 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{now: time.Now, entries: map[uint64]*entry{}, knownSafe: newRecentMap[uint64, struct{}](), strongest: newRecentMap[crashID, evidence]()}
+	return &Registry{
+		now: time.Now, entries: map[uint64]*entry{}, knownSafe: newRecentMap[uint64, struct{}](),
+		joint: map[uint64]struct{}{}, crashes: newRecentMap[crashID, crashInfo](),
+	}
 }
 
 // Fingerprint returns a 64-bit hash of a client account and the contents of a request,
@@ -222,7 +230,7 @@
 	list := make([]wire.Suspicion, 0, len(r.entries))
 	for fingerprint, e := range r.entries {
 		if !now.Before(e.expires) {
-			delete(r.entries, fingerprint)
+			r.delete(fingerprint)
 			continue
 		}
 		list = append(list, e.toSuspicion(fingerprint, now))
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -31,30 +31,108 @@
 			suspects = append(suspects, f)
 		}
 	}
+	if worst == Suspect && r.quarantinesJointly(fingerprints) {
+		worst = Quarantined
+	}
 	return worst, suspects
 }
 
-// AddCrashes records that a server crashed while it ran a request with the fingerprints.
-// A fingerprint that is known to be safe does not become suspect, because many requests
-// share it; it is returned in doubted and has to prove itself again, in all processes.
-// Both results must be published.
-func (r *Registry) AddCrashes(fingerprints []uint64, account fleet.ClientAccount, crash wire.Crash) (suspicions []wire.Suspicion, doubted []uint64) {
+// Blame describes a request that a server ran when it crashed.
+type Blame struct {
+	// Request is the fingerprint of the request, and Properties those of its properties.
+	Request    uint64
+	Properties []uint64
+	Account    fleet.ClientAccount
+	// Tried holds those fingerprints that were under suspicion when the request was
+	// sent, if it was a trial.
+	Tried []uint64
+	// Agent and ServerStart identify the crash; see wire.Crash.
+	Agent       fleet.ProcessID
+	ServerStart string
+	// Begun is true if the response had begun. Conclusive is true if a sound request is
+	// hardly ever in that state.
+	Begun, Conclusive bool
+}
+
+// AddBlame records that a server crashed while it ran a request. A property that is known
+// to be safe does not become suspect, because many requests share it; it is returned in
+// doubted and has to prove itself again, in all processes. Both results must be published.
+func (r *Registry) AddBlame(b Blame) (suspicions []wire.Suspicion, doubted []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, f := range fingerprints {
-		if r.stateOf(f) != Clear || !r.knownSafe.has(f) {
-			suspicions = append(suspicions, r.addCrash(f, account, crash))
-			continue
-		}
-		if !crash.NotBegun {
+	crash := wire.Crash{Agent: b.Agent, ServerStart: b.ServerStart, NotBegun: !b.Begun}
+	if len(b.Tried) > 0 {
+		return r.addTrialCrash(b, crash), nil
+	}
+	crash.BeforeSuspicion = true
+	var unproven []uint64
+	for _, f := range b.Properties {
+		switch {
+		case r.stateOf(f) != Clear || !r.knownSafe.has(f):
+			unproven = append(unproven, f)
+		case b.Begun:
 			r.knownSafe.remove(f)
 			doubted = append(doubted, f)
 		}
 	}
-	r.confirm(fingerprints)
+	if b.Begun && len(unproven) > 0 {
+		crash.Request = b.Request
+	}
+	suspicions = append(suspicions, r.addCrash(b.Request, b.Account, crash))
+	for _, f := range unproven {
+		suspicions = append(suspicions, r.addCrash(f, "", crash))
+	}
+	if b.Begun && b.Conclusive && len(unproven) > 0 {
+		crash.Conclusive = true
+		suspicions = append(suspicions, r.addJoint(unproven, crash, conclusiveLifetime))
+	}
+	r.confirm(append(unproven, b.Request))
 	return suspicions, doubted
 }
 
+// addTrialCrash records the crash of a server during a trial. The fingerprints that were
+// not under suspicion are not the cause. If properties were, the rest of the request is
+// taken not to be.
+func (r *Registry) addTrialCrash(b Blame, crash wire.Crash) []wire.Suspicion {
+	properties := slices.DeleteFunc(slices.Clone(b.Tried), func(f uint64) bool { return f == b.Request })
+	switch len(properties) {
+	case 0:
+		s := r.addCrash(b.Request, b.Account, crash)
+		r.confirm([]uint64{b.Request})
+		return []wire.Suspicion{s}
+	case 1:
+		s := r.addCrash(properties[0], "", crash)
+		r.confirm(properties)
+		return []wire.Suspicion{s}
+	}
+	return []wire.Suspicion{r.addJoint(properties, crash, suspicionLifetime)}
+}
+
+// addJoint adds a crash to the set of fingerprints one of which is the cause.
+func (r *Registry) addJoint(members []uint64, crash wire.Crash, lifetime time.Duration) wire.Suspicion {
+	members = slices.Sorted(slices.Values(members))
+	s := wire.Suspicion{
+		Fingerprint: jointFingerprint(members), Members: members, Crashes: []wire.Crash{crash}, Remaining: lifetime.Milliseconds(),
+	}
+	if e := r.find(s.Fingerprint); e != nil {
+		s.Lifts = e.lifts
+	}
+	merged, _ := r.merge(s)
+	return merged.toSuspicion(s.Fingerprint, r.now())
+}
+
+// jointFingerprint returns the fingerprint of a sorted set of fingerprints.
+func jointFingerprint(members []uint64) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString("\x00set")
+	var number [8]byte
+	for _, f := range members {
+		binary.LittleEndian.PutUint64(number[:], f)
+		_, _ = d.Write(number[:])
+	}
+	return d.Sum64()
+}
+
 // RecordSuccesses records that a server answered a request with the fingerprints. It
 // returns the suspicions that this cleared, which must be published.
 func (r *Registry) RecordSuccesses(fingerprints []uint64) []wire.Suspicion {
@@ -127,8 +205,10 @@
 	_, _ = d.Write(number[:4])
 	for _, c := range e.crashes {
 		_, _ = d.WriteString(string(c.Agent))
-		_, _ = d.Write([]byte{0, flag(c.NotBegun), flag(c.BeforeSuspicion)})
+		_, _ = d.Write([]byte{0, flag(c.NotBegun), flag(c.BeforeSuspicion), flag(c.Conclusive)})
 		_, _ = d.WriteString(c.ServerStart)
+		binary.LittleEndian.PutUint64(number[:], c.Request)
+		_, _ = d.Write(number[:])
 	}
 	return d.Sum64()
 }
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -7,71 +7,125 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
-// crash returns a crash that a request was sent into before it was under suspicion.
-func crash(server string) wire.Crash {
-	return wire.Crash{Agent: "s", ServerStart: server, BeforeSuspicion: true}
+// blame describes the crash of a server that ran a request with some properties. The
+// response had begun.
+func blame(server string, request uint64, properties ...uint64) Blame {
+	return Blame{Request: request, Properties: properties, Agent: "s", ServerStart: server, Begun: true}
+}
+
+func (b Blame) conclusive() Blame {
+	b.Conclusive = true
+	return b
 }
 
-// trialCrash returns a crash during a trial.
-func trialCrash(server string) wire.Crash { return wire.Crash{Agent: "s", ServerStart: server} }
+func (b Blame) waiting() Blame {
+	b.Begun = false
+	return b
+}
+
+// tried makes b the crash of a trial of some fingerprints.
+func (b Blame) tried(fingerprints ...uint64) Blame {
+	b.Tried = fingerprints
+	return b
+}
+
+func checkStates(t *testing.T, r *Registry, want map[uint64]State) {
+	t.Helper()
+	for f, state := range want {
+		if got, _ := r.Check([]uint64{f}); got != state {
+			t.Errorf("fingerprint %d: state %d, want %d", f, got, state)
+		}
+	}
+}
 
 // Guards against a quarantine of what requests have in common that ran on several servers
 // which crashed at the same moment, as when a rack loses power.
 func TestSimultaneousCrashesAloneDoNotQuarantine(t *testing.T) {
 	is := is.New(t)
 	r := NewRegistry()
-	r.AddCrashes([]uint64{1, 2}, "", crash("a"))
-	r.AddCrashes([]uint64{1, 3}, "", crash("b"))
-	state, suspects := r.Check([]uint64{1, 4})
+	r.AddBlame(blame("a", 100, 1, 2))
+	r.AddBlame(blame("b", 101, 1, 3))
+	state, suspects := r.Check([]uint64{102, 1, 4})
 	is.Equal(state, Suspect)
 	is.Equal(suspects, []uint64{1})
-	is.Equal(len(r.RecordSuccesses([]uint64{1, 4})), 1)
-	state, _ = r.Check([]uint64{1})
-	is.Equal(state, Clear)
+	is.Equal(len(r.RecordSuccesses([]uint64{102, 1, 4})), 1)
+	checkStates(t, r, map[uint64]State{1: Clear})
 }
 
 // Guards against more than two crashes by a part of a prompt if the second one was a trial,
 // and against a quarantine of the request that the part came with.
-func TestCrashUnderSuspicionQuarantinesOnlyWhatWasTried(t *testing.T) {
-	is := is.New(t)
+func TestCrashOfTrialQuarantinesOnlyWhatWasTried(t *testing.T) {
 	r := NewRegistry()
-	r.AddCrashes([]uint64{1, 2, 9}, "", crash("a"))
-	r.AddCrashes([]uint64{9}, "", trialCrash("b"))
-	for f, want := range map[uint64]State{1: Clear, 2: Clear, 9: Quarantined} {
-		state, _ := r.Check([]uint64{f})
-		is.Equal(state, want) // the first crash is explained by 9
-	}
+	r.AddBlame(blame("a", 100, 1, 9))
+	r.AddBlame(blame("b", 101, 2, 9).tried(9))
+	checkStates(t, r, map[uint64]State{1: Clear, 2: Clear, 9: Quarantined, 100: Clear, 101: Clear}) // 9 explains both
 }
 
 // Guards against suspicion of requests that only waited or began on a server which another
 // request crashed, in whichever order the reports arrive.
 func TestCrashCountsAgainstStrongestEvidence(t *testing.T) {
-	waiting := crash("a")
-	waiting.NotBegun = true
-	reports := []func(*Registry){
-		func(r *Registry) { r.AddCrashes([]uint64{1}, "", waiting) },
-		func(r *Registry) { r.AddCrashes([]uint64{2}, "", crash("a")) },
-		func(r *Registry) { r.AddCrashes([]uint64{3}, "", trialCrash("a")) },
-	}
+	reports := []Blame{blame("a", 1).waiting(), blame("a", 2), blame("a", 3).tried(3)}
 	for _, order := range [][]int{{0, 1, 2}, {2, 1, 0}, {1, 2, 0}} {
 		t.Run(fmt.Sprint(order), func(t *testing.T) {
 			r := NewRegistry()
 			for _, n := range order {
-				reports[n](r)
-			}
-			for f, want := range map[uint64]State{1: Clear, 2: Clear, 3: Suspect} {
-				if state, _ := r.Check([]uint64{f}); state != want {
-					t.Errorf("fingerprint %d: state %d, want %d", f, state, want)
-				}
+				r.AddBlame(reports[n])
 			}
+			checkStates(t, r, map[uint64]State{1: Clear, 2: Clear, 3: Suspect})
 		})
 	}
 }
 
+// Guards against a second crash of a whole group where the first one left no doubt, against
+// refusing requests that have only one of the possible causes, and against a quarantine
+// that stays after a single crash.
+func TestConclusiveCrashQuarantinesForShortTime(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := testRegistry(&now)
+	r.AddBlame(blame("a", 100, 1, 9).conclusive())
+	both := []uint64{101, 1, 9}
+	state, _ := r.Check(both)
+	is.Equal(state, Quarantined)
+	checkStates(t, r, map[uint64]State{1: Suspect, 9: Suspect})
+	r.RecordSuccesses([]uint64{102, 1}) // 1 is not the cause
+	checkStates(t, r, map[uint64]State{1: Clear, 9: Quarantined})
+	now = now.Add(conclusiveLifetime)
+	checkStates(t, r, map[uint64]State{9: Suspect})
+	r.AddBlame(blame("b", 103, 9).tried(9))
+	now = now.Add(conclusiveLifetime)
+	checkStates(t, r, map[uint64]State{9: Quarantined})
+}
+
+// Guards against a quarantine by evidence that another process's report of the same crash
+// puts in doubt.
+func TestSeveralBegunRequestsAreNotConclusive(t *testing.T) {
+	here, there := NewRegistry(), NewRegistry()
+	fromHere, _ := here.AddBlame(blame("a", 100, 1).conclusive())
+	checkStates(t, here, map[uint64]State{1: Quarantined})
+	fromThere, _ := there.AddBlame(blame("a", 200, 2).conclusive())
+	here.Receive(fromThere, nil)
+	there.Receive(fromHere, nil)
+	checkStates(t, here, map[uint64]State{1: Suspect, 2: Suspect})
+	checkStates(t, there, map[uint64]State{1: Suspect, 2: Suspect})
+}
+
+// Guards against a quarantine of a sound part that every crashing request happens to have
+// beside the part that is the cause.
+func TestTrialOfSeveralPartsDoesNotQuarantineEach(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry()
+	r.AddBlame(blame("a", 100, 1, 9))
+	r.AddBlame(blame("b", 101, 1, 9).tried(101, 1, 9))
+	state, _ := r.Check([]uint64{102, 1, 9})
+	is.Equal(state, Quarantined)
+	checkStates(t, r, map[uint64]State{1: Suspect, 9: Suspect})
+	r.RecordSuccesses([]uint64{103, 1})
+	checkStates(t, r, map[uint64]State{1: Clear, 9: Quarantined})
+}
+
 // Guards against suspicion of parts that many sound requests share, and against a part
 // that has become unsafe and is never suspected because it was safe before.
 func TestKnownSafePartHasToProveItselfAgain(t *testing.T) {
@@ -79,12 +133,12 @@
 	here, there := NewRegistry(), NewRegistry()
 	here.RecordSuccesses([]uint64{1})
 	there.RecordSuccesses([]uint64{1})
-	suspicions, doubted := here.AddCrashes([]uint64{1}, "", crash("a"))
-	is.Equal(len(suspicions), 0)
+	suspicions, doubted := here.AddBlame(blame("a", 100, 1))
+	is.Equal(len(suspicions), 1) // the request itself
 	is.Equal(doubted, []uint64{1})
 	there.Receive(suspicions, doubted)
-	suspicions, doubted = there.AddCrashes([]uint64{1}, "", crash("b"))
-	is.Equal(len(suspicions), 1)
+	suspicions, doubted = there.AddBlame(blame("b", 100, 1))
+	is.Equal(len(suspicions), 2)
 	is.Equal(len(doubted), 0)
 	cleared, changed := here.Receive(suspicions, nil)
 	is.True(changed)
@@ -99,14 +153,14 @@
 	is := is.New(t)
 	here, there := NewRegistry(), NewRegistry()
 	there.RecordSuccesses([]uint64{1})
-	suspicions, _ := here.AddCrashes([]uint64{1}, "", crash("a"))
+	suspicions, _ := here.AddBlame(blame("a", 100, 1))
 	cleared, _ := there.Receive(suspicions, nil)
 	is.Equal(len(cleared), 1)
 	here.Receive(cleared, nil)
 	state, _ := here.Check([]uint64{1})
 	is.Equal(state, Clear)
 	is.Equal(here.Digest(), there.Digest())
-	suspicions, _ = here.AddCrashes([]uint64{1}, "", crash("b"))
+	suspicions, _ = here.AddBlame(blame("b", 100, 1))
 	cleared, _ = there.Receive(suspicions, nil)
 	is.Equal(len(cleared), 0)
 }
@@ -118,11 +172,11 @@
 	now := time.Unix(1000, 0)
 	a, b := testRegistry(&now), testRegistry(&now)
 	is.Equal(a.Digest(), uint64(0))
-	a.AddCrashes([]uint64{1}, "", crash("a"))
+	a.AddBlame(blame("a", 100, 1))
 	is.True(a.Digest() != b.Digest())
-	a.AddCrashes([]uint64{1}, "", trialCrash("b"))
+	a.AddBlame(blame("b", 101, 1).tried(1))
 	for f := uint64(2); f < 50; f++ {
-		a.AddCrashes([]uint64{f}, "", crash("c"))
+		a.AddBlame(blame("c", f))
 	}
 	first := a.MostRestricted(3)
 	is.Equal(len(first), 3)
@@ -167,9 +221,9 @@
 		r.RecordSuccesses(parts)
 		slices.Reverse(parts)
 		parts[0] ^= 1 << 40
-		r.AddCrashes(parts, "", crash(fmt.Sprint(n)))
+		r.AddBlame(blame(fmt.Sprint(n), n<<8+200, parts...).conclusive())
 	}
 	is.True(len(r.entries) <= maxEntries)
 	is.True(len(r.knownSafe.current)+len(r.knownSafe.previous) <= 2*generationSize)
-	is.True(len(r.strongest.current)+len(r.strongest.previous) <= 2*generationSize)
+	is.True(len(r.crashes.current)+len(r.crashes.previous) <= 2*generationSize)
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -178,6 +178,12 @@
 	// BeforeSuspicion is true if the request was sent before its fingerprint was
 	// under suspicion, possibly together with others.
 	BeforeSuspicion bool `cbor:"4,keyasint,omitempty"`
+	// Request is the fingerprint of the request, if its response had begun and it has
+	// properties that are not known to be safe; otherwise 0.
+	Request uint64 `cbor:"5,keyasint,omitempty"`
+	// Conclusive is true if no other request can be the cause as far as the sender
+	// knows.
+	Conclusive bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Suspicion lists the backend server starts that crashed while a request ran on
@@ -191,6 +197,10 @@
 	// Lifts counts how often the suspicion was lifted. Crashes that were
 	// recorded with a lower count no longer apply.
 	Lifts uint32 `cbor:"5,keyasint,omitempty"`
+	// Members is set if it is not known which of several fingerprints is the cause.
+	// The suspicion then applies to requests that have all members which are still
+	// under suspicion, and Fingerprint identifies the set.
+	Members []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Suspicions carries suspicions. The receiver merges them and then answers with
