gateway: after a crash, requests with unproven parts run one at a time

Cause: while a group is down, requests with a part that nobody suspects yet gather at all gateways. When it opens they begin together, in one pass, before the first crash is known.

The fix: for a minute after a crash, a request whose parts no server has answered at this gateway asks the coordinator of trials first, as one under suspicion does; the same part is then tried by one request at a time. Without an answer it runs: it is under no suspicion. Two requests that crash one server in the same pass are no longer several causes if they have the same unproven parts.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -30,7 +30,7 @@
 	// crashed.
 	crashProbeTimeout = 150 * time.Millisecond
 	// trialRetryInterval is the time between two attempts to begin the trial of a request.
-	trialRetryInterval = 60 * time.Millisecond
+	trialRetryInterval = 40 * time.Millisecond
 	// plainTrialWait bounds the wait for a trial at a plain service.
 	plainTrialWait = 500 * time.Millisecond
 	// quarantineRetryAfter is the Retry-After value of a quarantined request. A
@@ -42,9 +42,9 @@
 type Suspicions interface {
 	// Publish sends suspicions, and fingerprints that no longer count as safe.
 	Publish(suspicions []wire.Suspicion, doubted []uint64)
-	// BeginTrial reports whether a request under suspicion may run now at a server of the
-	// service.
-	BeginTrial(ctx context.Context, service string, t quarantine.Trial) bool
+	// BeginTrial asks whether a trial may begin now at a service. decided is false if
+	// nobody answered.
+	BeginTrial(ctx context.Context, service string, t quarantine.Trial) (granted, decided bool)
 	// EndTrial ends a trial that has begun.
 	EndTrial(service string, id uint64)
 }
@@ -72,8 +72,7 @@
 		WithRetryAfter(quarantineRetryAfter)
 }
 
-// waitForRun waits for a slot and, if the request is under suspicion, for its trial. It
-// refuses a request that is quarantined or could not start in time.
+// waitForRun waits for a slot and, if the request needs one, for its trial. It refuses a request that is quarantined or could not start in time.
 func (g *Gateway) waitForRun(ctx context.Context, x *service, r *request) (*slot, *verdict.Error) {
 	for {
 		if refusal := g.refuseQuarantined(r); refusal != nil {
@@ -112,34 +111,45 @@
 }
 
 // mayRun reports whether the request may run at the server of a slot now. It begins a
-// trial if the request is under suspicion.
+// trial if the request is under suspicion or, after a crash, has unproven properties. Load
+// pattern: a group was down, and many requests wait that share a part which no server has
+// answered yet. If they began together, each could crash a server.
 func (g *Gateway) mayRun(ctx context.Context, r *request, p *slot) bool {
 	state, suspects := g.Quarantine.Check(r.fingerprints)
+	trial := quarantine.Trial{ID: r.trial.ID, Fingerprints: suspects}
 	switch state {
 	case quarantine.Clear:
-		return true
+		trial.Fingerprints = g.Quarantine.Unproven(r.fingerprints[1:])
+	case quarantine.Suspect:
+		trial.Server = p.backend.Server.ID
 	case quarantine.Quarantined:
 		return false
 	}
-	if r.trial.ID == 0 {
-		r.trial.ID = rand.Uint64()
+	if len(trial.Fingerprints) == 0 {
+		return true
+	}
+	if trial.ID == 0 {
+		trial.ID = rand.Uint64()
+		r.trial.ID = trial.ID
 	}
-	trial := quarantine.Trial{ID: r.trial.ID, Server: p.backend.Server.ID, Fingerprints: suspects}
-	if !g.Suspicions.BeginTrial(ctx, r.service.Name, trial) {
+	granted, decided := g.Suspicions.BeginTrial(ctx, r.service.Name, trial)
+	if !granted && (decided || state == quarantine.Suspect) {
 		return false
 	}
-	r.trial = trial
-	g.Recorder.Record("trial_began", r.ID, events.F("server", trial.Server), events.F("fingerprints", formatFingerprints(suspects)))
+	r.trial, r.suspects = trial, suspects
+	if state == quarantine.Suspect {
+		g.Recorder.Record("trial_began", r.ID, events.F("server", trial.Server), events.F("fingerprints", formatFingerprints(suspects)))
+	}
 	return true
 }
 
 // endTrial ends the trial of a request if it has one.
 func (g *Gateway) endTrial(r *request) {
-	if r.trial.Server == "" {
+	if len(r.trial.Fingerprints) == 0 {
 		return
 	}
 	g.Suspicions.EndTrial(r.service.Name, r.trial.ID)
-	r.trial = quarantine.Trial{ID: r.trial.ID}
+	r.trial, r.suspects = quarantine.Trial{ID: r.trial.ID}, nil
 }
 
 // recordProven records that a server has begun to answer a request, which clears the
@@ -168,15 +178,14 @@
 	if eventsHere > 0 || !refusesConnections(server.Address) {
 		return
 	}
-	isTrial := r.trial.Server != ""
 	suspicions, doubted := g.Quarantine.AddBlame(quarantine.Blame{
-		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.trial.Fingerprints,
+		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.suspects,
 		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10),
 		Begun: begun, Conclusive: p.service.headerLead.isShort(),
 	})
 	state, _ := g.Quarantine.Check(r.fingerprints)
 	g.Metrics.ServersCrashed.Inc(1)
-	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("trial", isTrial),
+	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("trial", len(r.suspects) > 0),
 		events.F("suspected", formatSuspicions(suspicions)), events.F("doubted", len(doubted)), events.F("quarantined", state == quarantine.Quarantined))
 	g.Suspicions.Publish(suspicions, doubted)
 	g.CancelQuarantined()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -235,8 +235,10 @@
 	runs int
 	// fingerprints identify the request and the properties that it shares with others.
 	fingerprints []uint64
-	// trial is the trial that the current attempt is, with no server if it is none.
-	trial quarantine.Trial
+	// trial is the trial that the current attempt is; it has no fingerprints if it is
+	// none. suspects are those of its fingerprints that were under suspicion.
+	trial    quarantine.Trial
+	suspects []uint64
 }
 
 // routePriorities is the number of route priorities within each account priority: top,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,8 +33,8 @@
 
 func (localSuspicions) Publish([]wire.Suspicion, []uint64) {}
 
-func (l localSuspicions) BeginTrial(_ context.Context, _ string, t quarantine.Trial) bool {
-	return l.trials.Begin(t)
+func (l localSuspicions) BeginTrial(_ context.Context, _ string, t quarantine.Trial) (granted, decided bool) {
+	return l.trials.Begin(t), true
 }
 
 func (l localSuspicions) EndTrial(_ string, id uint64) { l.trials.End(id) }
--- a/internal/peers/suspicions.go
+++ b/internal/peers/suspicions.go
@@ -95,12 +95,12 @@
 	}
 }
 
-// BeginTrial asks the coordinator of a service whether a trial may begin now. It returns
+// BeginTrial asks the coordinator of a service whether a trial may begin now. decided is
 // false if there is no reply within trialReplyTimeout.
-func (x *SuspicionExchange) BeginTrial(ctx context.Context, service string, t quarantine.Trial) bool {
+func (x *SuspicionExchange) BeginTrial(ctx context.Context, service string, t quarantine.Trial) (granted, decided bool) {
 	coordinator := x.members.Coordinator(service).ControlAddress
 	if coordinator == x.self {
-		return x.trials.Begin(t)
+		return x.trials.Begin(t), true
 	}
 	reply := make(chan TrialReply, 1)
 	x.mu.Lock()
@@ -112,17 +112,17 @@
 		x.mu.Unlock()
 	}()
 	if err := x.send(coordinator, &TrialRequest{From: x.self, ID: t.ID, Server: t.Server, Fingerprints: t.Fingerprints}); err != nil {
-		return false
+		return false, false
 	}
 	timeout := time.NewTimer(trialReplyTimeout)
 	defer timeout.Stop()
 	select {
 	case r := <-reply:
-		return r.Granted && r.Server == t.Server
+		return r.Granted && r.Server == t.Server, true
 	case <-timeout.C:
 	case <-ctx.Done():
 	}
-	return false
+	return false, false
 }
 
 // EndTrial tells the coordinator of a service that a trial has ended.
--- a/internal/peers/suspicions_test.go
+++ b/internal/peers/suspicions_test.go
@@ -124,17 +124,22 @@
 	n, g := newNetwork(t, "a", "b", "c")
 	coordinator := g["a"].members.Coordinator("s").ControlAddress
 	is.Equal(coordinator, g["b"].members.Coordinator("s").ControlAddress)
-	ctx := context.Background()
+	begin := func(gateway string, t quarantine.Trial) bool {
+		granted, _ := n.exchanges[gateway].BeginTrial(context.Background(), "s", t)
+		return granted
+	}
 	trial := quarantine.Trial{ID: 1, Server: "x", Fingerprints: []uint64{1}}
 	other := quarantine.Trial{ID: 2, Server: "y", Fingerprints: []uint64{1}}
-	is.True(n.exchanges["a:1"].BeginTrial(ctx, "s", trial))
-	is.True(!n.exchanges["b:1"].BeginTrial(ctx, "s", other))
-	is.True(!n.exchanges["c:1"].BeginTrial(ctx, "s", other))
+	is.True(begin("a:1", trial))
+	is.True(!begin("b:1", other))
+	is.True(!begin("c:1", other))
 	n.exchanges["a:1"].EndTrial("s", 1)
-	is.True(n.exchanges["b:1"].BeginTrial(ctx, "s", other))
+	is.True(begin("b:1", other))
 	n.exchanges["b:1"].EndTrial("s", 2)
 	n.cut[coordinator] = true
 	for address, x := range n.exchanges {
-		is.Equal(x.BeginTrial(ctx, "s", trial), address == coordinator)
+		granted, decided := x.BeginTrial(context.Background(), "s", trial)
+		is.Equal(granted, address == coordinator)
+		is.Equal(decided, address == coordinator)
 	}
 }
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -149,7 +149,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.ServerStart, b.ServerStart),
 		compareBool(a.BeforeSuspicion, b.BeforeSuspicion), compareBool(a.NotBegun, b.NotBegun),
-		cmp.Compare(a.Request, b.Request), compareBool(a.Conclusive, b.Conclusive),
+		cmp.Compare(a.Unproven, b.Unproven), compareBool(a.Conclusive, b.Conclusive),
 	)
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -47,21 +47,24 @@
 type crashInfo struct {
 	// strongest is the strongest evidence against any fingerprint.
 	strongest evidence
-	// request is the fingerprint of a request whose response had begun and which has
-	// properties that were not known to be safe, 0 if there is none; several is true if
-	// there is another.
-	request uint64
-	several bool
+	// unproven identifies the properties of a request whose response had begun that were
+	// not known to be safe, 0 if there is none; several is true if there is another such
+	// set.
+	unproven uint64
+	several  bool
 }
 
 // noteCrash adds what a crash report says to what is known of the crash.
 func (r *Registry) noteCrash(c wire.Crash) {
-	info, _ := r.crashes.get(idOf(c))
+	info, known := r.crashes.get(idOf(c))
+	if !known {
+		r.lastCrash = r.now()
+	}
 	info.strongest = max(info.strongest, evidenceOf(c))
 	switch {
-	case info.request == 0:
-		info.request = c.Request
-	case c.Request != 0 && c.Request != info.request:
+	case info.unproven == 0:
+		info.unproven = c.Unproven
+	case c.Unproven != 0 && c.Unproven != info.unproven:
 		info.several = true
 	}
 	r.crashes.set(idOf(c), info)
@@ -99,7 +102,7 @@
 }
 
 // jointState returns the state of an entry with members. Evidence that was conclusive for
-// its sender is not if the response to another request had begun.
+// its sender is not if the response to a request with other unproven properties had begun.
 func (r *Registry) jointState(e *entry) State {
 	for _, c := range e.crashes {
 		if info, _ := r.crashes.get(idOf(c)); !c.Conclusive || !info.several {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -59,6 +59,8 @@
 	joint map[uint64]struct{}
 	// crashes holds what is known of recent crashes.
 	crashes recentMap[crashID, crashInfo]
+	// lastCrash is when this process learned of the last crash.
+	lastCrash time.Time
 	// digest is the result of Digest at digestAt; it is zero after a change.
 	digest   uint64
 	digestAt time.Time
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -37,6 +37,27 @@
 	return worst, suspects
 }
 
+// alertTime is how long after a crash requests with unproven properties run one at a
+// time: while servers are down, requests with another cause of crashes may have gathered.
+const alertTime = time.Minute
+
+// Unproven returns the fingerprints that are not known to be safe, if a crash became known
+// within alertTime.
+func (r *Registry) Unproven(fingerprints []uint64) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastCrash.IsZero() || r.now().Sub(r.lastCrash) > alertTime {
+		return nil
+	}
+	var unproven []uint64
+	for _, f := range fingerprints {
+		if !r.knownSafe.has(f) {
+			unproven = append(unproven, f)
+		}
+	}
+	return unproven
+}
+
 // Blame describes a request that a server ran when it crashed.
 type Blame struct {
 	// Request is the fingerprint of the request, and Properties those of its properties.
@@ -76,7 +97,8 @@
 		}
 	}
 	if b.Begun && len(unproven) > 0 {
-		crash.Request = b.Request
+		slices.Sort(unproven)
+		crash.Unproven = jointFingerprint(unproven)
 	}
 	suspicions = append(suspicions, r.addCrash(b.Request, b.Account, crash))
 	for _, f := range unproven {
@@ -207,7 +229,7 @@
 		_, _ = d.WriteString(string(c.Agent))
 		_, _ = d.Write([]byte{0, flag(c.NotBegun), flag(c.BeforeSuspicion), flag(c.Conclusive)})
 		_, _ = d.WriteString(c.ServerStart)
-		binary.LittleEndian.PutUint64(number[:], c.Request)
+		binary.LittleEndian.PutUint64(number[:], c.Unproven)
 		_, _ = d.Write(number[:])
 	}
 	return d.Sum64()
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -14,18 +14,19 @@
 	maxTrials = 256
 )
 
-// Trial is the run of a request whose fingerprints are under suspicion.
+// Trial is the run of a request that has fingerprints which are under suspicion or, after
+// a crash, not known to be safe.
 type Trial struct {
 	// ID is the same for all attempts to begin the trial of one request.
-	ID     uint64
-	Server string
-	// Fingerprints are those under suspicion.
+	ID uint64
+	// Server is the server at which no other trial may run, or "".
+	Server       string
 	Fingerprints []uint64
 }
 
-// Trials decides which requests under suspicion may run. A fingerprint is tried by one
-// request at a time, so that it crashes one server more at most, and a server runs one
-// trial at a time, so that a crash can be attributed. It is safe for concurrent use.
+// Trials decides which requests that may crash servers run now. A fingerprint is tried by
+// one request at a time, so that it crashes one server more at most, and a server runs one
+// request under suspicion at a time, so that a crash can be attributed. It is safe for concurrent use.
 type Trials struct {
 	now func() time.Time
 
@@ -64,7 +65,7 @@
 
 // conflicts reports whether the trials have the server or a fingerprint in common.
 func (t Trial) conflicts(other Trial) bool {
-	if t.Server == other.Server {
+	if t.Server != "" && t.Server == other.Server {
 		return true
 	}
 	return slices.ContainsFunc(t.Fingerprints, func(f uint64) bool { return slices.Contains(other.Fingerprints, f) })
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -178,11 +178,11 @@
 	// BeforeSuspicion is true if the request was sent before its fingerprint was
 	// under suspicion, possibly together with others.
 	BeforeSuspicion bool `cbor:"4,keyasint,omitempty"`
-	// Request is the fingerprint of the request, if its response had begun and it has
-	// properties that are not known to be safe; otherwise 0.
-	Request uint64 `cbor:"5,keyasint,omitempty"`
-	// Conclusive is true if no other request can be the cause as far as the sender
-	// knows.
+	// Unproven identifies the set of the request's properties that are not known to be
+	// safe, if its response had begun; otherwise it is 0.
+	Unproven uint64 `cbor:"5,keyasint,omitempty"`
+	// Conclusive is true if no other set of properties can be the cause as far as the
+	// sender knows.
 	Conclusive bool `cbor:"6,keyasint,omitempty"`
 }
 
