gateway: measure the lead of the headers with three responses

The gateways that had just started had not measured eight responses when the next server crashed, so its crash was not conclusive. Three are enough to tell 10 ms from the time of a pass.

--- a/internal/gateway/headerlead.go
+++ b/internal/gateway/headerlead.go
@@ -9,7 +9,7 @@
 	// leadSmoothing is the weight of a new measurement in the moving average.
 	leadSmoothing = 1.0 / 16
 	// minLeadSamples is the number of measurements from which on the average counts.
-	minLeadSamples = 8
+	minLeadSamples = 3
 	// maxHeaderLead is the longest average up to which a request that has only the
 	// headers of its response counts as rare: a small part of a forward pass.
 	maxHeaderLead = 10 * time.Millisecond
