entry, agent: quarantine prefixes of prompts and adapters that crash servers

Cause: the same as in the gateways. entry and agent knew a request by account and whole body only, so each one was new and might crash two servers.

A suspect prefix confines all requests that have it to the same two agents, where one runs at a time, and a crash under suspicion quarantines it. The quarantine of whole requests stays as it was: two crashes, at most two servers. A process that knows a suspect to be safe clears it for all.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -37,8 +37,8 @@
 	a.server.crashedStart = serverStart
 	var suspicions []wire.Suspicion
 	for _, r := range a.suspects(a.runs.inFlight(serverStart)) {
-		crash := wire.Crash{Agent: a.process, ServerStart: serverStart}
-		suspicions = append(suspicions, a.quarantine.AddCrash(r.submit.Fingerprint, r.submit.Account, crash))
+		found, _ := a.quarantine.AddBlame(a.runs.blame(r, a.process, serverStart))
+		suspicions = append(suspicions, found...)
 		a.recorder.Record("request.suspected", r.submit.Request, events.F("server_start", serverStart))
 	}
 	a.recorder.Record("server.crashed", "", events.F("server_start", serverStart), events.F("suspects", len(suspicions)))
@@ -52,7 +52,7 @@
 func (a *agent) suspects(runs []*run) []*run {
 	var suspected []*run
 	for _, r := range runs {
-		if a.quarantine.State(r.submit.Fingerprint) != quarantine.Clear {
+		if state, _ := a.quarantine.Check(r.submit.Fingerprints()); state != quarantine.Clear {
 			suspected = append(suspected, r)
 		}
 	}
@@ -64,8 +64,8 @@
 
 // clearSuspicion clears the suspicion against a request that completed.
 func (a *agent) clearSuspicion(r *run) {
-	if s, ok := a.quarantine.RecordSuccess(r.submit.Fingerprint); ok {
+	if cleared := a.quarantine.RecordSuccesses(r.submit.Fingerprints()); len(cleared) > 0 {
 		a.recorder.Record("request.cleared", r.submit.Request)
-		go a.links.PublishSuspicions(context.Background(), []wire.Suspicion{s})
+		go a.links.PublishSuspicions(context.Background(), cleared)
 	}
 }
--- a/internal/agent/execute.go
+++ b/internal/agent/execute.go
@@ -66,10 +66,11 @@
 		if !time.Now().Before(r.deadline) {
 			r.expire()
 		}
-		if a.quarantine.State(r.submit.Fingerprint) == quarantine.Quarantined {
+		state, suspects := a.quarantine.Check(r.submit.Fingerprints())
+		if state == quarantine.Quarantined {
 			r.refuse(quarantinedError())
 		}
-		a.runs.startCall(r, a.server.snapshot().start)
+		a.runs.startCall(r, a.server.snapshot().start, suspects)
 		if err := r.state.Begin(); err != nil {
 			return err
 		}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/ledger"
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/queue"
 	"github.com/coltsfootbay/coltsfootbay/internal/ticket"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
@@ -38,9 +39,11 @@
 	table       *runTable
 	serverStart string
 	startedAt   time.Time
-	callActive  bool
-	watchers    int
-	graceTimer  *time.Timer
+	// tried holds the fingerprints that were under suspicion when the call began.
+	tried      []uint64
+	callActive bool
+	watchers   int
+	graceTimer *time.Timer
 }
 
 func (r *run) ticketed() bool { return r.ticket.Request != "" }
@@ -155,11 +158,22 @@
 	return out
 }
 
-// startCall records that a run is about to call the given server start.
-func (t *runTable) startCall(r *run, serverStart string) {
+// startCall records that a run is about to call the given server start, with some of its
+// fingerprints under suspicion.
+func (t *runTable) startCall(r *run, serverStart string, tried []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r.callActive, r.serverStart, r.startedAt = true, serverStart, time.Now()
+	r.callActive, r.serverStart, r.startedAt, r.tried = true, serverStart, time.Now(), tried
+}
+
+// blame describes a run that was in flight when the server of an agent crashed.
+func (t *runTable) blame(r *run, agent fleet.ProcessID, serverStart string) quarantine.Blame {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return quarantine.Blame{
+		Request: r.submit.Fingerprint, Properties: r.submit.Properties, Account: r.submit.Account,
+		Tried: r.tried, Agent: agent, ServerStart: serverStart, Begun: true,
+	}
 }
 
 // lastCall returns the server start that a run called and the time of the
--- a/internal/agent/submit.go
+++ b/internal/agent/submit.go
@@ -165,7 +165,7 @@
 		return verdict.Refuse(http.StatusGatewayTimeout, verdict.ReasonDeadline, "the deadline has passed")
 	case a.leaving.Load():
 		return leavingError()
-	case a.quarantine.State(m.Fingerprint) == quarantine.Quarantined:
+	case a.stateOf(m) == quarantine.Quarantined:
 		return quarantinedError()
 	case !a.server.snapshot().up:
 		return serverDownError()
@@ -173,6 +173,12 @@
 	return nil
 }
 
+// stateOf returns how a request is treated.
+func (a *agent) stateOf(m *wire.Submit) quarantine.State {
+	state, _ := a.quarantine.Check(m.Fingerprints())
+	return state
+}
+
 func (a *agent) newRun(m *wire.Submit, t ticket.Token, state *ledger.Run) *run {
 	r := &run{submit: m, ticket: t, state: state, deadline: deadlineFrom(m.RemainingMS)}
 	r.key = runKey{request: m.Request, account: m.Account}
@@ -190,7 +196,7 @@
 func (a *agent) newItem(r *run) *queue.Item {
 	m := r.submit
 	item := &queue.Item{Account: m.Account, Rank: m.Rank, Tokens: 1, Bytes: queueItemBytes, Deadline: r.deadline}
-	item.Suspect = func() bool { return a.quarantine.State(m.Fingerprint) == quarantine.Suspect }
+	item.Suspect = func() bool { return a.stateOf(m) == quarantine.Suspect }
 	if c := m.Completion; c != nil {
 		item.Tokens = int64((len(c.Prompt)+len(c.Generated))/bytesPerToken + max(c.MaxTokens, 1))
 		item.Bytes += int64(len(c.Prompt) + len(c.Generated))
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -99,6 +99,7 @@
 	// the fingerprint leaves out the body's resume field.
 	content := strings.Join([]string{completion.Model, completion.Adapter, completion.Prompt}, "\x00")
 	req.call.Fingerprint = quarantine.Fingerprint(req.call.Account.ID, []byte(content))
+	req.call.Properties = command.Properties(completion)
 	if e := a.commands.AdmitModel(req.call, completion.Model, completion.Adapter); e != nil {
 		return nil, nil, resumedRefusal(e, completion.Resume != nil)
 	}
--- a/internal/entry/command/admit.go
+++ b/internal/entry/command/admit.go
@@ -59,7 +59,7 @@
 }
 
 func (c *Commands) admitFingerprint(call *Call) *verdict.Error {
-	if c.Quarantine.State(call.Fingerprint) != quarantine.Quarantined {
+	if state, _ := c.Quarantine.Check(call.fingerprints()); state != quarantine.Quarantined {
 		return nil
 	}
 	return verdict.Refuse(http.StatusUnprocessableEntity, verdict.ReasonQuarantined, "backend servers ended while this request ran")
--- a/internal/entry/command/attempts.go
+++ b/internal/entry/command/attempts.go
@@ -13,7 +13,6 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
 	"github.com/coltsfootbay/coltsfootbay/internal/routing"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
-	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 const (
@@ -63,6 +62,7 @@
 	}
 	x := newExchange(ctx, s, agent.Hello.Process, start, cancel)
 	x.server = agent.Report.ServerStart
+	_, x.tried = a.commands.Quarantine.Check(a.call.fingerprints())
 	x.deadlineUptime = a.deadlineUptime(agent, start)
 	x.release = a.commands.Router.RecordSent(agent.Hello.Process, a.query)
 	return x, nil
@@ -98,9 +98,11 @@
 // reportCrash adds a crash with the server start that the request was sent to, so
 // that the agent's own report of the same crash is not counted again.
 func (a *attempts) reportCrash(ctx context.Context, x *exchange) {
-	crash := wire.Crash{Agent: x.agent, ServerStart: x.server}
-	s := a.commands.Quarantine.AddCrash(a.call.Fingerprint, a.call.Account.ID, crash)
-	a.commands.Links.PublishSuspicions(ctx, []wire.Suspicion{s})
+	suspicions, _ := a.commands.Quarantine.AddBlame(quarantine.Blame{
+		Request: a.call.Fingerprint, Properties: a.call.Properties, Account: a.call.Account.ID, Tried: x.tried,
+		Agent: x.agent, ServerStart: x.server, Begun: true,
+	})
+	a.commands.Links.PublishSuspicions(ctx, suspicions)
 }
 
 func deadlineOrCanceled(ctx context.Context) *verdict.Error {
@@ -122,7 +124,7 @@
 	if !a.retryAllowed(e) || time.Until(a.call.Deadline) < minRetryTime || ctx.Err() != nil {
 		return false
 	}
-	if a.commands.Quarantine.State(a.call.Fingerprint) == quarantine.Quarantined {
+	if state, _ := a.commands.Quarantine.Check(a.call.fingerprints()); state == quarantine.Quarantined {
 		return false
 	}
 	exclude := append(a.query.Exclude, agent)
@@ -183,8 +185,8 @@
 
 // clearSuspicion clears a suspicion of the request after a success.
 func (a *attempts) clearSuspicion() {
-	if s, ok := a.commands.Quarantine.RecordSuccess(a.call.Fingerprint); ok {
-		go a.commands.Links.PublishSuspicions(context.Background(), []wire.Suspicion{s})
+	if cleared := a.commands.Quarantine.RecordSuccesses(a.call.fingerprints()); len(cleared) > 0 {
+		go a.commands.Links.PublishSuspicions(context.Background(), cleared)
 	}
 }
 
--- a/internal/entry/command/commands.go
+++ b/internal/entry/command/commands.go
@@ -82,7 +82,13 @@
 	Rank        fleet.Rank
 	Deadline    time.Time
 	Fingerprint uint64
+	// Properties holds the fingerprints of what the request has in common with others.
+	Properties []uint64
 }
 
+// fingerprints returns the fingerprint of the request, followed by those of its
+// properties.
+func (c *Call) fingerprints() []uint64 { return append([]uint64{c.Fingerprint}, c.Properties...) }
+
 // remainingMS returns the milliseconds until the deadline, at least 0.
 func (c *Call) remainingMS() int64 { return max(time.Until(c.Deadline).Milliseconds(), 0) }
--- a/internal/entry/command/completion.go
+++ b/internal/entry/command/completion.go
@@ -160,7 +160,7 @@
 		stream, start, openErr := s.commands.waitOpen(bounded, x.agent)
 		if openErr == nil && start == x.start {
 			reattached := newExchange(ctx, stream, x.agent, start, true)
-			reattached.server = x.server
+			reattached.server, reattached.tried = x.server, x.tried
 			end, e := s.attachOver(ctx, reattached)
 			if e == nil {
 				return end, nil
@@ -175,7 +175,7 @@
 func (s *completion) submitMessage(x *exchange) *wire.Submit {
 	return &wire.Submit{
 		Request: s.call.ID, Attempt: s.sequence.attempt, Account: s.call.Account.ID, Rank: s.call.Rank,
-		RemainingMS: s.call.remainingMS(), DeadlineUptime: x.deadlineUptime, Fingerprint: s.call.Fingerprint,
+		RemainingMS: s.call.remainingMS(), DeadlineUptime: x.deadlineUptime, Fingerprint: s.call.Fingerprint, Properties: s.call.Properties,
 		Completion: &wire.Completion{
 			Model: s.request.Model, Adapter: s.request.Adapter, Prompt: s.request.Prompt,
 			// The engine counts only the tokens that it generates after this text.
--- a/internal/entry/command/confine.go
+++ b/internal/entry/command/confine.go
@@ -31,11 +31,17 @@
 // updateConfinement sets the confinement from the current state of the
 // quarantine.
 func (a *attempts) updateConfinement() {
-	registry, fingerprint := a.commands.Quarantine, a.call.Fingerprint
+	registry := a.commands.Quarantine
+	state, suspects := registry.Check(a.call.fingerprints())
+	a.query.Fingerprint = a.call.Fingerprint
 	switch {
-	case registry.State(fingerprint) != quarantine.Clear:
-		a.query.Confinement, a.query.CrashedAgents = routing.Suspected, registry.CrashedAgents(fingerprint)
-	case registry.KnownSafe(fingerprint):
+	case state != quarantine.Clear:
+		if len(suspects) > 0 {
+			// Requests with the same suspect property are confined to the same agents.
+			a.query.Fingerprint = suspects[0]
+		}
+		a.query.Confinement, a.query.CrashedAgents = routing.Suspected, registry.CrashedAgents(a.query.Fingerprint)
+	case registry.KnownSafe(a.call.Fingerprint):
 		a.query.Confinement = routing.Unconfined
 	default:
 		a.query.Confinement = routing.Untried
--- a/internal/entry/command/exchange.go
+++ b/internal/entry/command/exchange.go
@@ -30,6 +30,8 @@
 	start  fleet.StartID
 	// server is the start of the backend server when the request was sent.
 	server string
+	// tried holds the fingerprints of the request that were under suspicion then.
+	tried []uint64
 	// deadlineUptime is the deadline as the agent's uptime in milliseconds, or 0
 	// if it is not known.
 	deadlineUptime int64
--- a/internal/link/suspicions.go
+++ b/internal/link/suspicions.go
@@ -80,11 +80,14 @@
 }
 
 func (p *peer) receiveSuspicions(message *wire.Suspicions) {
-	changed := p.manager.Quarantine.Merge(message.Suspicions)
+	changed, cleared := p.manager.Quarantine.Receive(message.Suspicions, nil)
 	p.post(&wire.SuspicionAck{Sequence: message.Sequence})
 	if len(changed) > 0 {
 		p.manager.broadcastSuspicions(changed, p)
 	}
+	if len(cleared) > 0 {
+		p.manager.broadcastSuspicions(cleared, nil)
+	}
 }
 
 func (p *peer) receiveAck(message *wire.SuspicionAck) error {
--- a/internal/peers/suspicions.go
+++ b/internal/peers/suspicions.go
@@ -86,11 +86,11 @@
 
 // HandleSuspicions merges the suspicions of another gateway.
 func (x *SuspicionExchange) HandleSuspicions(m *Suspicions) {
-	cleared, changed := x.registry.Receive(m.Suspicions, m.Doubted)
+	changed, cleared := x.registry.Receive(m.Suspicions, m.Doubted)
 	if len(cleared) > 0 {
 		x.Publish(cleared, nil)
 	}
-	if changed {
+	if len(changed) > 0 {
 		x.changed()
 	}
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -71,8 +71,8 @@
 }
 
 // state returns the state that the crashes of e amount to. A crash under suspicion
-// confirms it. Without one, the fingerprint was possibly only common to requests that ran
-// when several servers crashed at the same time.
+// confirms it. Without one, a property was possibly only common to requests that ran when
+// several servers crashed at the same time; equal requests of one account rarely are.
 func (r *Registry) state(e *entry) State {
 	if e.confirmed {
 		return Quarantined
@@ -93,7 +93,7 @@
 		last = c
 	}
 	switch {
-	case count >= unconfirmedCrashes, count >= quarantineCrashes && underSuspicion:
+	case count >= unconfirmedCrashes, count >= quarantineCrashes && (underSuspicion || e.account != ""):
 		return Quarantined
 	case count > 0:
 		return Suspect
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -37,9 +37,10 @@
 	// quarantines. After it, one request is tried.
 	conclusiveLifetime = 30 * time.Second
 	// quarantineCrashes is the number of distinct crashes from which on a
-	// fingerprint is quarantined, if one of them happened under suspicion.
+	// fingerprint is quarantined.
 	quarantineCrashes = 2
-	// unconfirmedCrashes is the same number if none happened under suspicion.
+	// unconfirmedCrashes is the same number for a property, which requests of all
+	// accounts may have, if no crash happened under suspicion.
 	unconfirmedCrashes = 3
 	// maxEntries bounds the entries of the registry. Beyond it the entry with the
 	// fewest crashes, and among those the one that expires first, is deleted.
@@ -205,23 +206,6 @@
 	return r.lift(fingerprint, e), true
 }
 
-// Merge merges suspicions from other processes and returns those that changed the
-// registry, which must be forwarded.
-func (r *Registry) Merge(suspicions []wire.Suspicion) []wire.Suspicion {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var changed []wire.Suspicion
-	var fingerprints []uint64
-	for _, s := range suspicions {
-		if e, updated := r.merge(s); updated {
-			changed = append(changed, e.toSuspicion(s.Fingerprint, r.now()))
-			fingerprints = append(fingerprints, s.Fingerprint)
-		}
-	}
-	r.confirm(fingerprints)
-	return changed
-}
-
 // List returns all suspicions that have not expired, sorted by fingerprint. It
 // includes cleared ones, because their lift count invalidates older crashes in
 // other processes.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -17,6 +17,12 @@
 	return r
 }
 
+// merge merges suspicions of another process and returns those that changed.
+func merge(r *Registry, suspicions []wire.Suspicion) []wire.Suspicion {
+	changed, _ := r.Receive(suspicions, nil)
+	return changed
+}
+
 func drawSuspicions(t *rapid.T, label string) []wire.Suspicion {
 	crash := rapid.Custom(func(t *rapid.T) wire.Crash {
 		return wire.Crash{Agent: fleet.ProcessID(rapid.StringMatching("[ab]").Draw(t, "agent")), ServerStart: rapid.StringMatching("[0-9]").Draw(t, "start"),
@@ -42,20 +48,20 @@
 		a, b, c := drawSuspicions(t, "a"), drawSuspicions(t, "b"), drawSuspicions(t, "c")
 		left, right, nested := testRegistry(&now), testRegistry(&now), testRegistry(&now)
 		for _, s := range [][]wire.Suspicion{a, b, c, a} {
-			left.Merge(s)
+			merge(left, s)
 		}
 		for _, s := range [][]wire.Suspicion{c, b, a} {
-			right.Merge(s)
+			merge(right, s)
 		}
 		inner := testRegistry(&now)
-		inner.Merge(b)
-		inner.Merge(c)
-		nested.Merge(inner.List())
-		nested.Merge(a)
+		merge(inner, b)
+		merge(inner, c)
+		merge(nested, inner.List())
+		merge(nested, a)
 		is := is.New(t)
 		is.Equal(left.List(), right.List())
 		is.Equal(left.List(), nested.List())
-		is.Equal(len(left.Merge(right.List())), 0) // repeated suspicions change nothing
+		is.Equal(len(merge(left, right.List())), 0) // repeated suspicions change nothing
 	})
 }
 
@@ -72,7 +78,7 @@
 	cleared, ok := r.RecordSuccess(7)
 	is.True(ok)
 	is.Equal(cleared.Lifts, uint32(1))
-	is.Equal(len(r.Merge([]wire.Suspicion{old})), 0) // a late copy is ignored
+	is.Equal(len(merge(r, []wire.Suspicion{old})), 0) // a late copy is ignored
 	is.Equal(r.State(7), Clear)
 	r.AddCrash(7, "x", one)
 	r.AddCrash(7, "x", two)
@@ -122,7 +128,7 @@
 	s := r.AddCrash(1, "alpha", wire.Crash{Agent: "agent-1", ServerStart: "1"})
 	is.True(!r.KnownSafe(1))
 	is.Equal(len(r.CrashedAgents(1)), 1)
-	r.Merge([]wire.Suspicion{{Fingerprint: 1, Remaining: s.Remaining, Lifts: 1}})
+	merge(r, []wire.Suspicion{{Fingerprint: 1, Remaining: s.Remaining, Lifts: 1}})
 	is.True(!r.KnownSafe(1))
 	for i := range uint64(4 * generationSize) {
 		r.RecordSuccess(i + 10)
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -75,9 +75,9 @@
 	Begun, Conclusive bool
 }
 
-// AddBlame records that a server crashed while it ran a request. A property that is known
-// to be safe does not become suspect, because many requests share it; it is returned in
-// doubted and has to prove itself again, in all processes. Both results must be published.
+// AddBlame records that a server crashed while it ran a request. A fingerprint that is
+// known to be safe does not become suspect, because many requests share it; it is returned
+// in doubted and has to prove itself again, in all processes. Both results must be published.
 func (r *Registry) AddBlame(b Blame) (suspicions []wire.Suspicion, doubted []uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -87,20 +87,26 @@
 	}
 	crash.BeforeSuspicion = true
 	var unproven []uint64
-	for _, f := range b.Properties {
-		switch {
-		case r.stateOf(f) != Clear || !r.knownSafe.has(f):
-			unproven = append(unproven, f)
-		case b.Begun:
+	isProven := func(f uint64) bool {
+		proven := r.stateOf(f) == Clear && r.knownSafe.has(f)
+		if proven && b.Begun {
 			r.knownSafe.remove(f)
 			doubted = append(doubted, f)
 		}
+		return proven
+	}
+	for _, f := range b.Properties {
+		if !isProven(f) {
+			unproven = append(unproven, f)
+		}
 	}
 	if b.Begun && len(unproven) > 0 {
 		slices.Sort(unproven)
 		crash.Unproven = jointFingerprint(unproven)
 	}
-	suspicions = append(suspicions, r.addCrash(b.Request, b.Account, crash))
+	if !isProven(b.Request) {
+		suspicions = append(suspicions, r.addCrash(b.Request, b.Account, crash))
+	}
 	for _, f := range unproven {
 		suspicions = append(suspicions, r.addCrash(f, "", crash))
 	}
@@ -169,11 +175,12 @@
 	return cleared
 }
 
-// Receive merges suspicions and doubted fingerprints from another process. It clears new
-// suspicions of fingerprints that this process knows to be safe, and returns these, which
-// must be published. changed reports whether any state may have changed. A fingerprint
-// that is cleared in this way has to prove itself again: it may have become unsafe.
-func (r *Registry) Receive(suspicions []wire.Suspicion, doubted []uint64) (cleared []wire.Suspicion, changed bool) {
+// Receive merges suspicions and doubted fingerprints from another process. It returns
+// those that changed the registry, which must be forwarded if not all processes receive
+// them. It clears new suspicions of fingerprints that this process knows to be safe, and
+// returns these, which must be published. A fingerprint that is cleared in this way has to
+// prove itself again: it may have become unsafe.
+func (r *Registry) Receive(suspicions []wire.Suspicion, doubted []uint64) (changed, cleared []wire.Suspicion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var safe, merged []uint64
@@ -181,8 +188,9 @@
 		if r.stateOf(s.Fingerprint) == Clear && r.knownSafe.has(s.Fingerprint) {
 			safe = append(safe, s.Fingerprint)
 		}
-		if _, updated := r.merge(s); updated {
+		if e, updated := r.merge(s); updated {
 			merged = append(merged, s.Fingerprint)
+			changed = append(changed, e.toSuspicion(s.Fingerprint, r.now()))
 		}
 	}
 	r.confirm(merged)
@@ -194,7 +202,7 @@
 	for _, f := range doubted {
 		r.knownSafe.remove(f)
 	}
-	return cleared, len(merged) > 0
+	return changed, cleared
 }
 
 // digestLifetime is how long a digest is reused although suspicions may have expired.
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -140,8 +140,8 @@
 	suspicions, doubted = there.AddBlame(blame("b", 100, 1))
 	is.Equal(len(suspicions), 2)
 	is.Equal(len(doubted), 0)
-	cleared, changed := here.Receive(suspicions, nil)
-	is.True(changed)
+	changed, cleared := here.Receive(suspicions, nil)
+	is.Equal(len(changed), 2)
 	is.Equal(len(cleared), 0) // no success since the first crash
 	state, _ := here.Check([]uint64{1})
 	is.Equal(state, Suspect)
@@ -154,14 +154,14 @@
 	here, there := NewRegistry(), NewRegistry()
 	there.RecordSuccesses([]uint64{1})
 	suspicions, _ := here.AddBlame(blame("a", 100, 1))
-	cleared, _ := there.Receive(suspicions, nil)
+	_, cleared := there.Receive(suspicions, nil)
 	is.Equal(len(cleared), 1)
 	here.Receive(cleared, nil)
 	state, _ := here.Check([]uint64{1})
 	is.Equal(state, Clear)
 	is.Equal(here.Digest(), there.Digest())
 	suspicions, _ = here.AddBlame(blame("b", 100, 1))
-	cleared, _ = there.Receive(suspicions, nil)
+	_, cleared = there.Receive(suspicions, nil)
 	is.Equal(len(cleared), 0)
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -233,6 +233,14 @@
 	// Unlike RemainingMS, it includes the time in transit. It is zero if the
 	// sender has no report of the agent's start.
 	DeadlineUptime int64 `cbor:"10,keyasint,omitempty"`
+	// Properties holds the fingerprints of what the request has in common with others.
+	Properties []uint64 `cbor:"11,keyasint,omitempty"`
+}
+
+// Fingerprints returns the fingerprint of the request, followed by those of its
+// properties.
+func (m *Submit) Fingerprints() []uint64 {
+	return append([]uint64{m.Fingerprint}, m.Properties...)
 }
 
 // Completion is a request to a model engine.
