gateway: what is proven after a crash or a start is told to all gateways

Cause: the proof of a part was not shared, and a process that has just started did not count as one that may have missed crashes. A request that waited for its trial also went through the queue again and was counted as a new arrival each time.

The fix: the fingerprints of a trial that is answered are sent to all gateways, so one answer proves a part for all. For 20 s after its start a gateway tries unproven parts one at a time as after a crash. A request that had its turn in the queue waits for its trial outside of it. A server that is leaving and ends is not held to have crashed.

--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -37,8 +37,7 @@
 	a.server.crashedStart = serverStart
 	var suspicions []wire.Suspicion
 	for _, r := range a.suspects(a.runs.inFlight(serverStart)) {
-		found, _ := a.quarantine.AddBlame(a.runs.blame(r, a.process, serverStart))
-		suspicions = append(suspicions, found...)
+		suspicions = append(suspicions, a.quarantine.AddBlame(a.runs.blame(r, a.process, serverStart)).Suspicions...)
 		a.recorder.Record("request.suspected", r.submit.Request, events.F("server_start", serverStart))
 	}
 	a.recorder.Record("server.crashed", "", events.F("server_start", serverStart), events.F("suspects", len(suspicions)))
--- a/internal/entry/command/attempts.go
+++ b/internal/entry/command/attempts.go
@@ -98,11 +98,11 @@
 // reportCrash adds a crash with the server start that the request was sent to, so
 // that the agent's own report of the same crash is not counted again.
 func (a *attempts) reportCrash(ctx context.Context, x *exchange) {
-	suspicions, _ := a.commands.Quarantine.AddBlame(quarantine.Blame{
+	update := a.commands.Quarantine.AddBlame(quarantine.Blame{
 		Request: a.call.Fingerprint, Properties: a.call.Properties, Account: a.call.Account.ID, Tried: x.tried,
 		Agent: x.agent, ServerStart: x.server, Begun: true,
 	})
-	a.commands.Links.PublishSuspicions(ctx, suspicions)
+	a.commands.Links.PublishSuspicions(ctx, update.Suspicions)
 }
 
 func deadlineOrCanceled(ctx context.Context) *verdict.Error {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -40,8 +40,8 @@
 
 // Suspicions exchanges suspicions with the other gateways.
 type Suspicions interface {
-	// Publish sends suspicions, and fingerprints that no longer count as safe.
-	Publish(suspicions []wire.Suspicion, doubted []uint64)
+	// Publish sends an update to all other gateways.
+	Publish(u quarantine.Update)
 	// BeginTrial asks whether a trial may begin now at a service. decided is false if
 	// nobody answered.
 	BeginTrial(ctx context.Context, service string, t quarantine.Trial) (granted, decided bool)
@@ -72,22 +72,30 @@
 		WithRetryAfter(quarantineRetryAfter)
 }
 
-// waitForRun waits for a slot and, if the request needs one, for its trial. It refuses a request that is quarantined or could not start in time.
+// waitForRun waits for a slot and, if the request needs one, for its trial. It refuses a
+// request that is quarantined or could not start in time.
 func (g *Gateway) waitForRun(ctx context.Context, x *service, r *request) (*slot, *verdict.Error) {
-	for {
-		if refusal := g.refuseQuarantined(r); refusal != nil {
-			return nil, refusal
-		}
-		p, refusal := g.waitForSlot(ctx, x, r)
-		if refusal != nil {
-			return nil, refusal
-		}
-		if g.mayRun(ctx, r, p) {
-			return p, nil
-		}
+	if refusal := g.refuseQuarantined(r); refusal != nil {
+		return nil, refusal
+	}
+	p, refusal := g.waitForSlot(ctx, x, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	for until := refuseAt(r, false); !g.mayRun(ctx, r, p); {
 		p.release()
-		sleep(ctx, trialRetryInterval)
+		for p = nil; p == nil; p = x.tryQueuedSlot() {
+			if refusal := g.refuseQuarantined(r); refusal != nil {
+				return nil, refusal
+			}
+			if ctx.Err() != nil || time.Now().After(until) {
+				return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "requests like this one run one at a time after a crash").
+					WithRetryAfter(g.retryAfter(r, 0))
+			}
+			sleep(ctx, trialRetryInterval)
+		}
 	}
+	return p, nil
 }
 
 // tryRun returns a slot that is free now, or nil. It waits for the trial of a request
@@ -155,10 +163,11 @@
 // recordProven records that a server has begun to answer a request, which clears the
 // request of suspicion and ends its trial.
 func (g *Gateway) recordProven(r *request) {
-	if cleared := g.Quarantine.RecordSuccesses(r.fingerprints); len(cleared) > 0 {
+	cleared := g.Quarantine.RecordSuccesses(r.fingerprints)
+	if len(cleared) > 0 {
 		g.Recorder.Record("suspicion_cleared", r.ID, events.F("count", len(cleared)))
-		g.Suspicions.Publish(cleared, nil)
 	}
+	g.Suspicions.Publish(quarantine.Update{Suspicions: cleared, Proven: r.trial.Fingerprints})
 	g.endTrial(r)
 }
 
@@ -166,7 +175,7 @@
 // complete. If the server has crashed and had not answered, the request comes under
 // suspicion. sentAt is when the request was sent to the server, and eventsHere the number
 // of events that the server has sent since. Requests that had events are no suspects:
-// they ran before the one that crashed the server.
+// they ran before the one that crashed the server. A leaving server ends without a crash.
 func (g *Gateway) recordBroken(r *request, p *slot, s sendResult, sentAt time.Time, eventsHere int) {
 	g.Metrics.Broken.Inc(1)
 	server := p.backend.Server
@@ -175,10 +184,10 @@
 	g.Recorder.Record("attempt_broken", r.ID, events.F("server", server.ID), events.F("route", r.route.Name),
 		events.F("account", string(r.account)), events.F("headers", begun), events.F("events", eventsHere),
 		events.F("ms", time.Since(sentAt).Milliseconds()), events.F("parts", strings.Join(parts, ",")), events.F("cause", s.cause()))
-	if eventsHere > 0 || !refusesConnections(server.Address) {
+	if eventsHere > 0 || server.Leaving || !refusesConnections(server.Address) {
 		return
 	}
-	suspicions, doubted := g.Quarantine.AddBlame(quarantine.Blame{
+	update := g.Quarantine.AddBlame(quarantine.Blame{
 		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.suspects,
 		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10),
 		Begun: begun, Conclusive: p.service.headerLead.isShort(),
@@ -186,8 +195,8 @@
 	state, _ := g.Quarantine.Check(r.fingerprints)
 	g.Metrics.ServersCrashed.Inc(1)
 	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("trial", len(r.suspects) > 0),
-		events.F("suspected", formatSuspicions(suspicions)), events.F("doubted", len(doubted)), events.F("quarantined", state == quarantine.Quarantined))
-	g.Suspicions.Publish(suspicions, doubted)
+		events.F("suspected", formatSuspicions(update.Suspicions)), events.F("doubted", len(update.Doubted)), events.F("quarantined", state == quarantine.Quarantined))
+	g.Suspicions.Publish(update)
 	g.CancelQuarantined()
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,13 +25,12 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
-	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 // localSuspicions is the exchange of a gateway that has no others beside it.
 type localSuspicions struct{ trials *quarantine.Trials }
 
-func (localSuspicions) Publish([]wire.Suspicion, []uint64) {}
+func (localSuspicions) Publish(quarantine.Update) {}
 
 func (l localSuspicions) BeginTrial(_ context.Context, _ string, t quarantine.Trial) (granted, decided bool) {
 	return l.trials.Begin(t), true
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -239,6 +239,17 @@
 	return &slot{service: x, backend: b}
 }
 
+// tryQueuedSlot returns a slot that is free now under the limit for queued requests, or
+// nil. It is for a request that has had its turn in the queue.
+func (x *service) tryQueuedSlot() *slot {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.stalled() || x.seemsClosed() {
+		return nil
+	}
+	return x.trySlot(balance.Constraint{LoadLimit: x.limit})
+}
+
 // acquire waits for a slot in the order of the queue. It returns nil if the item
 // becomes too late or ctx is done.
 func (x *service) acquire(ctx context.Context, i *item) *slot {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -114,17 +114,13 @@
 // waitForSlot waits for a slot. It refuses a request that could not start in time.
 func (g *Gateway) waitForSlot(ctx context.Context, x *service, r *request) (*slot, *verdict.Error) {
 	i := &item{
-		ID: r.ID, Account: r.account, Urgency: r.queuePriority(), Work: work(r), Arrived: r.arrived, TargetDeadline: r.deadline, RefuseAt: r.deadline,
+		ID: r.ID, Account: r.account, Urgency: r.queuePriority(), Work: work(r), Arrived: r.arrived, TargetDeadline: r.deadline,
 		CallerRetry: x.isRetry(r),
 	}
 	if target := r.route.TargetLatency; target > 0 {
 		i.TargetDeadline = r.arrived.Add(target - x.reserve.forTarget(target))
-		waitTargets := maxWaitTargets
-		if i.CallerRetry {
-			waitTargets = retryMaxWaitTargets
-		}
-		i.RefuseAt = earliest(r.deadline, r.arrived.Add(max(time.Duration(waitTargets*float64(target)), minMaxWait)))
 	}
+	i.RefuseAt = refuseAt(r, i.CallerRetry)
 	wait, known := x.estimateWait(i)
 	if known && r.arrived.Add(wait).After(i.RefuseAt) {
 		x.recordRefusal()
@@ -144,6 +140,20 @@
 	return p, nil
 }
 
+// refuseAt returns when a request is refused if it has not started. callerRetry says
+// whether its caller is retrying after a refusal.
+func refuseAt(r *request, callerRetry bool) time.Time {
+	target := r.route.TargetLatency
+	if target == 0 {
+		return r.deadline
+	}
+	waitTargets := maxWaitTargets
+	if callerRetry {
+		waitTargets = retryMaxWaitTargets
+	}
+	return earliest(r.deadline, r.arrived.Add(max(time.Duration(waitTargets*float64(target)), minMaxWait)))
+}
+
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/link/suspicions.go
+++ b/internal/link/suspicions.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
@@ -80,7 +81,7 @@
 }
 
 func (p *peer) receiveSuspicions(message *wire.Suspicions) {
-	changed, cleared := p.manager.Quarantine.Receive(message.Suspicions, nil)
+	changed, cleared := p.manager.Quarantine.Receive(quarantine.Update{Suspicions: message.Suspicions})
 	p.post(&wire.SuspicionAck{Sequence: message.Sequence})
 	if len(changed) > 0 {
 		p.manager.broadcastSuspicions(changed, p)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -55,11 +55,11 @@
 	Suspicions uint64 `cbor:"3,keyasint,omitempty"`
 }
 
-// Suspicions carries suspicions that the receiver merges, and fingerprints that no longer
-// count as safe.
+// Suspicions carries a part of a quarantine.Update.
 type Suspicions struct {
 	Suspicions []wire.Suspicion `cbor:"1,keyasint,omitempty"`
 	Doubted    []uint64         `cbor:"2,keyasint,omitempty"`
+	Proven     []uint64         `cbor:"3,keyasint,omitempty"`
 }
 
 // TrialRequest asks the coordinator of a service whether a request under suspicion may run.
--- a/internal/peers/suspicions.go
+++ b/internal/peers/suspicions.go
@@ -7,16 +7,15 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
-	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
 const (
 	// trialReplyTimeout is how long a gateway waits for the coordinator's reply to a
 	// TrialRequest.
 	trialReplyTimeout = 100 * time.Millisecond
-	// suspicionsPerMessage bounds the suspicions and doubted fingerprints of a message,
-	// which usually keeps it below maxDatagram.
-	suspicionsPerMessage = 12
+	// itemsPerMessage bounds the items of each kind in a message, which usually keeps it
+	// below maxDatagram.
+	itemsPerMessage = 12
 	// repairSuspicions bounds the suspicions that are sent to a gateway which has others.
 	repairSuspicions = 36
 )
@@ -48,28 +47,30 @@
 	}
 }
 
-// Publish sends suspicions and doubted fingerprints to all other gateways.
-func (x *SuspicionExchange) Publish(suspicions []wire.Suspicion, doubted []uint64) {
+// Publish sends an update to all other gateways.
+func (x *SuspicionExchange) Publish(u quarantine.Update) {
+	if u.Empty() {
+		return
+	}
 	for _, p := range x.members.Alive() {
 		if p.ControlAddress != x.self {
-			x.sendTo(p.ControlAddress, suspicions, doubted)
+			x.sendTo(p.ControlAddress, u)
 		}
 	}
 }
 
-// sendTo sends suspicions and doubted fingerprints in messages that fit into datagrams.
-func (x *SuspicionExchange) sendTo(address string, suspicions []wire.Suspicion, doubted []uint64) {
-	for len(suspicions)+len(doubted) > 0 {
-		n := min(len(suspicions), suspicionsPerMessage)
-		d := min(len(doubted), suspicionsPerMessage)
+// sendTo sends an update in messages that fit into datagrams.
+func (x *SuspicionExchange) sendTo(address string, u quarantine.Update) {
+	for !u.Empty() {
+		n, d, p := min(len(u.Suspicions), itemsPerMessage), min(len(u.Doubted), itemsPerMessage), min(len(u.Proven), itemsPerMessage)
 		for {
-			err := x.send(address, &Suspicions{Suspicions: suspicions[:n], Doubted: doubted[:d]})
+			err := x.send(address, &Suspicions{Suspicions: u.Suspicions[:n], Doubted: u.Doubted[:d], Proven: u.Proven[:p]})
 			if !errors.Is(err, ErrTooLong) || n <= 1 {
 				break
 			}
 			n /= 2
 		}
-		suspicions, doubted = suspicions[n:], doubted[d:]
+		u = quarantine.Update{Suspicions: u.Suspicions[n:], Doubted: u.Doubted[d:], Proven: u.Proven[p:]}
 	}
 }
 
@@ -81,15 +82,13 @@
 	if h.From.ControlAddress == x.self || h.Suspicions == x.registry.Digest() {
 		return
 	}
-	x.sendTo(h.From.ControlAddress, x.registry.MostRestricted(repairSuspicions), nil)
+	x.sendTo(h.From.ControlAddress, quarantine.Update{Suspicions: x.registry.MostRestricted(repairSuspicions)})
 }
 
 // HandleSuspicions merges the suspicions of another gateway.
 func (x *SuspicionExchange) HandleSuspicions(m *Suspicions) {
-	changed, cleared := x.registry.Receive(m.Suspicions, m.Doubted)
-	if len(cleared) > 0 {
-		x.Publish(cleared, nil)
-	}
+	changed, cleared := x.registry.Receive(quarantine.Update{Suspicions: m.Suspicions, Doubted: m.Doubted, Proven: m.Proven})
+	x.Publish(quarantine.Update{Suspicions: cleared})
 	if len(changed) > 0 {
 		x.changed()
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -50,7 +50,8 @@
 // Registry holds the suspicions that this process knows. It is safe for
 // concurrent use.
 type Registry struct {
-	now func() time.Time
+	now     func() time.Time
+	started time.Time
 
 	mu      sync.Mutex
 	entries map[uint64]*entry
@@ -70,7 +71,7 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		now: time.Now, entries: map[uint64]*entry{}, knownSafe: newRecentMap[uint64, struct{}](),
+		now: time.Now, started: time.Now(), entries: map[uint64]*entry{}, knownSafe: newRecentMap[uint64, struct{}](),
 		joint: map[uint64]struct{}{}, crashes: newRecentMap[crashID, crashInfo](),
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -19,7 +19,7 @@
 
 // merge merges suspicions of another process and returns those that changed.
 func merge(r *Registry, suspicions []wire.Suspicion) []wire.Suspicion {
-	changed, _ := r.Receive(suspicions, nil)
+	changed, _ := r.Receive(Update{Suspicions: suspicions})
 	return changed
 }
 
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -14,6 +14,17 @@
 // The functions in this file handle requests that have several fingerprints: that of the
 // whole request, and those of properties which it shares with other requests.
 
+// Update is what processes tell each other.
+type Update struct {
+	Suspicions []wire.Suspicion
+	// Doubted holds fingerprints that no longer count as safe, and Proven those that a
+	// server has answered since a crash.
+	Doubted, Proven []uint64
+}
+
+// Empty reports whether there is nothing to tell.
+func (u Update) Empty() bool { return len(u.Suspicions)+len(u.Doubted)+len(u.Proven) == 0 }
+
 // Check returns the most restricted state of the fingerprints of a request, and those
 // that are under suspicion.
 func (r *Registry) Check(fingerprints []uint64) (State, []uint64) {
@@ -37,16 +48,23 @@
 	return worst, suspects
 }
 
-// alertTime is how long after a crash requests with unproven properties run one at a
-// time: while servers are down, requests with another cause of crashes may have gathered.
-const alertTime = time.Minute
+const (
+	// alertTime is how long after a crash requests with unproven properties run one at a
+	// time: while servers are down, requests with another cause of crashes may have
+	// gathered.
+	alertTime = time.Minute
+	// startAlertTime is the same after the start of this process, which may have followed
+	// crashes that it does not know of.
+	startAlertTime = 20 * time.Second
+)
 
-// Unproven returns the fingerprints that are not known to be safe, if a crash became known
-// within alertTime.
+// Unproven returns the fingerprints that are not known to be safe. It returns none if no
+// crash became known within alertTime and the process has not just started.
 func (r *Registry) Unproven(fingerprints []uint64) []uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.lastCrash.IsZero() || r.now().Sub(r.lastCrash) > alertTime {
+	now := r.now()
+	if now.Sub(r.started) > startAlertTime && (r.lastCrash.IsZero() || now.Sub(r.lastCrash) > alertTime) {
 		return nil
 	}
 	var unproven []uint64
@@ -77,21 +95,22 @@
 
 // AddBlame records that a server crashed while it ran a request. A fingerprint that is
 // known to be safe does not become suspect, because many requests share it; it is returned
-// in doubted and has to prove itself again, in all processes. Both results must be published.
-func (r *Registry) AddBlame(b Blame) (suspicions []wire.Suspicion, doubted []uint64) {
+// as doubted and has to prove itself again, in all processes. The result must be published.
+func (r *Registry) AddBlame(b Blame) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	crash := wire.Crash{Agent: b.Agent, ServerStart: b.ServerStart, NotBegun: !b.Begun}
 	if len(b.Tried) > 0 {
-		return r.addTrialCrash(b, crash), nil
+		return Update{Suspicions: r.addTrialCrash(b, crash)}
 	}
 	crash.BeforeSuspicion = true
+	var u Update
 	var unproven []uint64
 	isProven := func(f uint64) bool {
 		proven := r.stateOf(f) == Clear && r.knownSafe.has(f)
 		if proven && b.Begun {
 			r.knownSafe.remove(f)
-			doubted = append(doubted, f)
+			u.Doubted = append(u.Doubted, f)
 		}
 		return proven
 	}
@@ -105,17 +124,17 @@
 		crash.Unproven = jointFingerprint(unproven)
 	}
 	if !isProven(b.Request) {
-		suspicions = append(suspicions, r.addCrash(b.Request, b.Account, crash))
+		u.Suspicions = append(u.Suspicions, r.addCrash(b.Request, b.Account, crash))
 	}
 	for _, f := range unproven {
-		suspicions = append(suspicions, r.addCrash(f, "", crash))
+		u.Suspicions = append(u.Suspicions, r.addCrash(f, "", crash))
 	}
 	if b.Begun && b.Conclusive && len(unproven) > 0 {
 		crash.Conclusive = true
-		suspicions = append(suspicions, r.addJoint(unproven, crash, conclusiveLifetime))
+		u.Suspicions = append(u.Suspicions, r.addJoint(unproven, crash, conclusiveLifetime))
 	}
 	r.confirm(append(unproven, b.Request))
-	return suspicions, doubted
+	return u
 }
 
 // addTrialCrash records the crash of a server during a trial. The fingerprints that were
@@ -175,16 +194,15 @@
 	return cleared
 }
 
-// Receive merges suspicions and doubted fingerprints from another process. It returns
-// those that changed the registry, which must be forwarded if not all processes receive
-// them. It clears new suspicions of fingerprints that this process knows to be safe, and
+// Receive merges what another process tells. It returns the suspicions that changed the
+// registry, which must be forwarded if not all processes receive them. It clears new suspicions of fingerprints that this process knows to be safe, and
 // returns these, which must be published. A fingerprint that is cleared in this way has to
 // prove itself again: it may have become unsafe.
-func (r *Registry) Receive(suspicions []wire.Suspicion, doubted []uint64) (changed, cleared []wire.Suspicion) {
+func (r *Registry) Receive(u Update) (changed, cleared []wire.Suspicion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var safe, merged []uint64
-	for _, s := range suspicions {
+	for _, s := range u.Suspicions {
 		if r.stateOf(s.Fingerprint) == Clear && r.knownSafe.has(s.Fingerprint) {
 			safe = append(safe, s.Fingerprint)
 		}
@@ -199,9 +217,12 @@
 			cleared = append(cleared, r.lift(f, e))
 		}
 	}
-	for _, f := range doubted {
+	for _, f := range u.Doubted {
 		r.knownSafe.remove(f)
 	}
+	for _, f := range u.Proven {
+		r.knownSafe.set(f, struct{}{})
+	}
 	return changed, cleared
 }
 
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -103,11 +103,11 @@
 // puts in doubt.
 func TestSeveralBegunRequestsAreNotConclusive(t *testing.T) {
 	here, there := NewRegistry(), NewRegistry()
-	fromHere, _ := here.AddBlame(blame("a", 100, 1).conclusive())
+	fromHere := here.AddBlame(blame("a", 100, 1).conclusive())
 	checkStates(t, here, map[uint64]State{1: Quarantined})
-	fromThere, _ := there.AddBlame(blame("a", 200, 2).conclusive())
-	here.Receive(fromThere, nil)
-	there.Receive(fromHere, nil)
+	fromThere := there.AddBlame(blame("a", 200, 2).conclusive())
+	here.Receive(fromThere)
+	there.Receive(fromHere)
 	checkStates(t, here, map[uint64]State{1: Suspect, 2: Suspect})
 	checkStates(t, there, map[uint64]State{1: Suspect, 2: Suspect})
 }
@@ -133,14 +133,14 @@
 	here, there := NewRegistry(), NewRegistry()
 	here.RecordSuccesses([]uint64{1})
 	there.RecordSuccesses([]uint64{1})
-	suspicions, doubted := here.AddBlame(blame("a", 100, 1))
-	is.Equal(len(suspicions), 1) // the request itself
-	is.Equal(doubted, []uint64{1})
-	there.Receive(suspicions, doubted)
-	suspicions, doubted = there.AddBlame(blame("b", 100, 1))
-	is.Equal(len(suspicions), 2)
-	is.Equal(len(doubted), 0)
-	changed, cleared := here.Receive(suspicions, nil)
+	u := here.AddBlame(blame("a", 100, 1))
+	is.Equal(len(u.Suspicions), 1) // the request itself
+	is.Equal(u.Doubted, []uint64{1})
+	there.Receive(u)
+	u = there.AddBlame(blame("b", 100, 1))
+	is.Equal(len(u.Suspicions), 2)
+	is.Equal(len(u.Doubted), 0)
+	changed, cleared := here.Receive(u)
 	is.Equal(len(changed), 2)
 	is.Equal(len(cleared), 0) // no success since the first crash
 	state, _ := here.Check([]uint64{1})
@@ -153,15 +153,13 @@
 	is := is.New(t)
 	here, there := NewRegistry(), NewRegistry()
 	there.RecordSuccesses([]uint64{1})
-	suspicions, _ := here.AddBlame(blame("a", 100, 1))
-	_, cleared := there.Receive(suspicions, nil)
+	_, cleared := there.Receive(here.AddBlame(blame("a", 100, 1)))
 	is.Equal(len(cleared), 1)
-	here.Receive(cleared, nil)
+	here.Receive(Update{Suspicions: cleared})
 	state, _ := here.Check([]uint64{1})
 	is.Equal(state, Clear)
 	is.Equal(here.Digest(), there.Digest())
-	suspicions, _ = here.AddBlame(blame("b", 100, 1))
-	_, cleared = there.Receive(suspicions, nil)
+	_, cleared = there.Receive(here.AddBlame(blame("b", 100, 1)))
 	is.Equal(len(cleared), 0)
 }
 
@@ -181,7 +179,7 @@
 	first := a.MostRestricted(3)
 	is.Equal(len(first), 3)
 	is.Equal(first[0].Fingerprint, uint64(1))
-	b.Receive(a.List(), nil)
+	b.Receive(Update{Suspicions: a.List()})
 	is.Equal(a.Digest(), b.Digest())
 	now = now.Add(suspicionLifetime + digestLifetime)
 	is.Equal(a.Digest(), uint64(0))
@@ -227,3 +225,21 @@
 	is.True(len(r.knownSafe.current)+len(r.knownSafe.previous) <= 2*generationSize)
 	is.True(len(r.crashes.current)+len(r.crashes.previous) <= 2*generationSize)
 }
+
+// Guards against requests that gathered while servers were down and crash several of them
+// at once, and against a process that has just started and does not know of the crashes.
+func TestUnprovenAfterCrashAndStart(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := testRegistry(&now)
+	r.started = now
+	is.Equal(r.Unproven([]uint64{1}), []uint64{1})
+	now = now.Add(startAlertTime + time.Second)
+	is.Equal(len(r.Unproven([]uint64{1})), 0)
+	r.AddBlame(blame("a", 100, 9))
+	r.RecordSuccesses([]uint64{1})
+	r.Receive(Update{Proven: []uint64{3}})
+	is.Equal(r.Unproven([]uint64{1, 2, 3}), []uint64{2})
+	now = now.Add(alertTime + time.Second)
+	is.Equal(len(r.Unproven([]uint64{1, 2, 3})), 0)
+}
