soak: parts of prompts that crash servers, among all other faults

TestSoakWithCrashingParts sends requests with one such part after the other while gateways and rank agents are killed, frozen, stopped and restarted and servers crash. A part may crash five servers, and three more requests may reach servers after that (the users' BUDGET). The numbers of gateways and ranks are flags, for runs with many processes.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -41,11 +41,33 @@
 	attempts []attempt
 	// removed holds the keys that were removed from the configuration.
 	removed map[string]removal
+	// withParts makes streaming requests name the parts of their prompts. crashPart is the
+	// part that some of them have, or "".
+	withParts bool
+	crashPart string
+}
+
+// setCrashPart sets the part of the prompt that some requests have from now on.
+func (t *traffic) setCrashPart(id string) {
+	t.fleet.group.SetCrashPart(id)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashPart = id
+}
+
+// parts returns the parts of the prompt of a new request.
+func (t *traffic) parts(random *rand.Rand, account, id string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.crashPart != "" && random.IntN(crashingOneIn) == 0 {
+		return []string{account, t.crashPart, id}
+	}
+	return []string{account, id}
 }
 
 func startTraffic(f *fleet, seed int64) *traffic {
 	ctx, stop := context.WithCancel(context.Background())
-	t := &traffic{fleet: f, stop: stop, removed: map[string]removal{}}
+	t := &traffic{fleet: f, stop: stop, removed: map[string]removal{}, withParts: f.withoutProxies}
 	for n := range callers {
 		c := &caller{traffic: t, random: rand.New(rand.NewPCG(uint64(seed), uint64(n))), name: fmt.Sprintf("%d-%d", seed, n)}
 		c.renewClient()
@@ -169,6 +191,9 @@
 		ID: fmt.Sprintf("r-%s-%d", c.name, c.requests), Host: host, Kind: kind, Limit: limit,
 		Path: fmt.Sprintf("/%s/%d", kind, c.requests), Key: fmt.Sprintf("key-%s-%d", account[len("account-"):], key),
 	}
+	if c.traffic.withParts && kind == "streaming" {
+		q.PromptParts = c.traffic.parts(c.random, account, q.ID)
+	}
 	r := c.send(ctx, address, q, account)
 	if r.Outcome == platformtest.Unreachable {
 		c.failed[address] = true
--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -27,11 +27,14 @@
 )
 
 // soak runs one fleet with injected faults and checks the guarantees of the platform.
-func soak(t *testing.T, seed int64) {
-	f := startFleet(t)
+func soak(t *testing.T, seed int64, options ...func(*fleet)) {
+	f := startFleet(t, options...)
 	callers := startTraffic(f, seed)
 	time.Sleep(time.Second)
 	x := newFaults(f, callers, seed)
+	if f.withoutProxies {
+		x.wait.Go(func() { x.sendCrashParts(seed) })
+	}
 	x.run(*faultTime)
 	x.note("faults have ended")
 	time.Sleep(settleTime)
@@ -45,6 +48,7 @@
 	time.Sleep(handoverTime)
 	checkInvariants(t, callers, attempts)
 	checkRecovery(t, callers, attempts, from, to)
+	f.checkCrashParts(t)
 	f.checkGroup(t)
 	report(t, f, attempts)
 	if t.Failed() {
--- a/integration/soak/crashpart_test.go
+++ b/integration/soak/crashpart_test.go
@@ -83,7 +83,7 @@
 	time.Sleep(crashTime / 2)
 	stop()
 	wait.Wait()
-	if n := f.group.Crashes(); n > maxCrashes {
+	if n := f.group.Crashes(crashingPart); n > maxCrashes {
 		t.Errorf("BUDGET: requests with one part of their prompt crashed servers %d times, more than %d", n, maxCrashes)
 	}
 	sent, served := 0, 0
@@ -116,10 +116,24 @@
 	for _, fault := range f.record.Faults() {
 		t.Error(fault)
 	}
-	t.Logf("%d crashes, %d of %d sound requests served after %s, %d requests with the part", f.group.Crashes(), served, sent, crashTime/2, len(crashing))
+	t.Logf("%d crashes, %d of %d sound requests served after %s, %d requests with the part", f.group.Crashes(crashingPart), served, sent, crashTime/2, len(crashing))
 	if t.Failed() {
 		for _, p := range f.processes() {
 			t.Logf("%s:\n%s", p.Name, tail(p.Log(), 40))
 		}
 	}
 }
+
+// maxCrashesInSoak is how many servers a part may crash while gateways are killed, cut off
+// and frozen beside it: five, after which three more requests may reach servers.
+const maxCrashesInSoak = 5 + 3
+
+func (f *fleet) checkCrashParts(t *testing.T) {
+	for _, part := range f.crashParts {
+		n := f.group.Crashes(part)
+		t.Logf("%s: %d crashes", part, n)
+		if n > maxCrashesInSoak {
+			t.Errorf("BUDGET: requests with %s crashed servers %d times, more than %d", part, n, maxCrashesInSoak)
+		}
+	}
+}
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -75,6 +75,21 @@
 	x.wait.Wait()
 }
 
+// sendCrashParts makes requests with parts that crash servers arrive, one part after the
+// other, while the other faults are injected.
+func (x *faults) sendCrashParts(seed int64) {
+	random := rand.New(rand.NewPCG(uint64(seed), 99))
+	for end := x.began.Add(*faultTime); time.Now().Before(end); {
+		part := fmt.Sprintf("part-%d", len(x.fleet.crashParts))
+		x.fleet.crashParts = append(x.fleet.crashParts, part)
+		x.note("requests with %s crash servers", part)
+		x.traffic.setCrashPart(part)
+		time.Sleep(2*time.Second + time.Duration(random.Int64N(int64(5*time.Second))))
+		x.traffic.setCrashPart("")
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+	}
+}
+
 func (x *faults) randomDuration(least, most time.Duration) time.Duration {
 	return least + time.Duration(x.random.Int64N(int64(most-least)))
 }
--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -17,10 +17,8 @@
 )
 
 const (
-	gateways = 4
-	ranks    = 4
-	plain    = 3
-	zones    = 2
+	plain = 3
+	zones = 2
 	// revokeBound, drainBound and configBound are the times that the deployments
 	// guarantee for a revoked key, a draining server and a new configuration.
 	revokeBound = 5 * time.Second
@@ -63,6 +61,8 @@
 	// withoutProxies publishes the engines' own addresses: a proxy accepts connections
 	// also while its engine is down.
 	withoutProxies bool
+	// crashParts holds the parts of prompts that crashed servers.
+	crashParts []string
 }
 
 // startFleet starts all processes and stand-ins and waits until the gateways are
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -13,6 +13,14 @@
 	"time"
 )
 
+// gateways and ranks are the numbers of processes of a fleet.
+var gateways, ranks int
+
+func init() {
+	flag.IntVar(&gateways, "gateways", 4, "gateways of a fleet")
+	flag.IntVar(&ranks, "ranks", 4, "ranks of a fleet's model group")
+}
+
 var (
 	binaries  = flag.String("bin", "", "directory of the binaries; without it the soak is skipped")
 	firstSeed = flag.Int64("seed", 0, "first seed; 0 derives it from the clock")
@@ -22,20 +30,31 @@
 )
 
 // failedSeeds holds the seeds of previous failures, each with its cause.
-var failedSeeds = []struct {
-	seed  int64
-	cause string
-}{
+var failedSeeds = []failedSeed{
 	{2, repeatedGet},
 	{3, repeatedGet},
 	{5, repeatedGet},
 }
 
+type failedSeed struct {
+	seed  int64
+	cause string
+}
+
 const repeatedGet = "BUDGET: the HTTP client repeated a GET whose keep-alive connection was closed, so it ran at three servers"
 
+// Guards against violated guarantees while requests with parts that crash servers arrive
+// and gateways, agents and servers fail beside them.
+func TestSoakWithCrashingParts(t *testing.T) {
+	soakSeeds(t, nil, func(f *fleet) { f.withoutProxies = true })
+}
+
 // Guards against violated guarantees under combinations of faults that no
 // dedicated test covers.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { soakSeeds(t, failedSeeds) }
+
+// soakSeeds runs a soak with each of the failed seeds and the new ones.
+func soakSeeds(t *testing.T, failed []failedSeed, options ...func(*fleet)) {
 	if *binaries == "" {
 		t.Skip("-bin is not given")
 	}
@@ -52,10 +71,10 @@
 			if cause != "" {
 				t.Log("failed before: ", cause)
 			}
-			soak(t, seed)
+			soak(t, seed, options...)
 		})
 	}
-	for _, x := range failedSeeds {
+	for _, x := range failed {
 		run(x.seed, x.cause)
 	}
 	for n := range *seeds {
