--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 	oneShotClient   *http.Client
 	bodyBytes       atomic.Int64
 	leaving         atomic.Bool
-	waiting         waitingRequests
+	waiting         waitingRequests // queued requests
 	// revocationDelay is Config.RevocationDelay in nanoseconds; a reload may change it.
 	revocationDelay atomic.Int64
 }
@@ -239,6 +239,8 @@
 	// none. suspects are those of its fingerprints that were under suspicion.
 	trial    quarantine.Trial
 	suspects []uint64
+	// proven is true once a server has begun to answer the request.
+	proven bool
 }
 
 // routePriorities is the number of route priorities within each account priority: top,
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -237,6 +237,34 @@
 // Valid reports whether the rank and the offset are within the bounds.
 func (p *ExpertCounts) Valid() bool { return p.Rank >= 0 && p.Rank < MaxRanks && p.Offset >= 0 }
 
+const (
+	// maxSuspicions, maxFingerprints and maxNameBytes bound the content of messages about
+	// suspicions, which receivers keep.
+	maxSuspicions   = 64
+	maxFingerprints = 64
+	maxNameBytes    = 1024
+)
+
+// Valid reports whether the content is within the bounds.
+func (m *Suspicions) Valid() bool {
+	for _, s := range m.Suspicions {
+		if len(s.Members) > maxFingerprints || len(s.Account) > maxNameBytes {
+			return false
+		}
+		for _, c := range s.Crashes {
+			if len(c.Agent) > maxNameBytes || len(c.ServerStart) > maxNameBytes {
+				return false
+			}
+		}
+	}
+	return len(m.Suspicions) <= maxSuspicions && len(m.Doubted) <= maxFingerprints && len(m.Proven) <= maxFingerprints
+}
+
+// Valid reports whether the content is within the bounds.
+func (m *TrialRequest) Valid() bool {
+	return len(m.Fingerprints) <= maxFingerprints && len(m.Server) <= maxNameBytes
+}
+
 // MaxRanks limits the ranks of a group; the largest group in use has 72.
 const MaxRanks = 4096
 
--- a/internal/peers/socket.go
+++ b/internal/peers/socket.go
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	if v, ok := m.(interface{ Valid() bool }); ok && !v.Valid() {
-		return nil, fmt.Errorf("a datagram of kind %d has an invalid rank, size or offset", data[0])
+		return nil, fmt.Errorf("a datagram of kind %d has content beyond its bounds", data[0])
 	}
 	return m, nil
 }
