quarantine: one way to add a crash and to record a success

The functions for a single fingerprint had no caller but tests after entry and agent gave their requests several. The tests use the one that is left, with the same checks.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -39,7 +39,7 @@
 	id := newIdentity(t)
 	first := start(t, id, fleet.RoleEntry, 0, nil)
 	first.docs.Merge([]wire.Document{{Name: "models/old", Revision: 1, Body: strings.Repeat("x", 1<<20)}}, 1)
-	first.Quarantine.AddCrash(1, "a", wire.Crash{Agent: "x"})
+	first.Quarantine.AddBlame(quarantine.Blame{Request: 1, Account: "a", Agent: "x", Begun: true})
 	seed := first.View.Self().Address
 	second := start(t, id, fleet.RoleEntry, 1, nil, seed)
 	third := start(t, id, fleet.RoleEntry, 2, nil, seed)
@@ -61,8 +61,8 @@
 	})
 	second.PublishDocuments(second.docs.Merge([]wire.Document{{Name: "models/new", Revision: 2}}, 2), 2)
 	eventually(t, "new document everywhere", time.Second, func() bool { return agent.docs.Hash() == second.docs.Hash() })
-	s := agent.Quarantine.AddCrash(1, "a", wire.Crash{Agent: "y"})
-	agent.PublishSuspicions(context.Background(), []wire.Suspicion{s})
+	u := agent.Quarantine.AddBlame(quarantine.Blame{Request: 1, Account: "a", Agent: "y", Begun: true})
+	agent.PublishSuspicions(context.Background(), u.Suspicions)
 	for _, p := range entries {
 		is.Equal(p.Quarantine.State(1), quarantine.Quarantined)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -100,15 +100,7 @@
 	return d.Sum64()
 }
 
-// AddCrash adds a crash to a fingerprint and returns the suspicion to publish.
-func (r *Registry) AddCrash(fingerprint uint64, account fleet.ClientAccount, crash wire.Crash) wire.Suspicion {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.addCrash(fingerprint, account, crash)
-	r.confirm([]uint64{fingerprint})
-	return s
-}
-
+// addCrash adds a crash to a fingerprint and returns the suspicion to publish.
 func (r *Registry) addCrash(fingerprint uint64, account fleet.ClientAccount, crash wire.Crash) wire.Suspicion {
 	s := wire.Suspicion{
 		Fingerprint: fingerprint,
@@ -176,15 +168,9 @@
 	return out
 }
 
-// RecordSuccess records that a request completed, and clears a suspicion that is not
-// confirmed. It returns the cleared suspicion, which must be published, or
-// false if there was none.
-func (r *Registry) RecordSuccess(fingerprint uint64) (s wire.Suspicion, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.recordSuccess(fingerprint)
-}
-
+// recordSuccess records that a request with the fingerprint was answered, and clears a
+// suspicion that is not confirmed. It returns the cleared suspicion, or false if there was
+// none.
 func (r *Registry) recordSuccess(fingerprint uint64) (s wire.Suspicion, ok bool) {
 	r.knownSafe.set(fingerprint, struct{}{})
 	e := r.find(fingerprint)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -17,6 +17,22 @@
 	return r
 }
 
+// addCrash adds a crash to a fingerprint and returns the suspicion.
+func addCrash(r *Registry, fingerprint uint64, account fleet.ClientAccount, crash wire.Crash) wire.Suspicion {
+	s := r.addCrash(fingerprint, account, crash)
+	r.confirm([]uint64{fingerprint})
+	return s
+}
+
+// recordSuccess records a success and returns the suspicion that it cleared, or false.
+func recordSuccess(r *Registry, fingerprint uint64) (wire.Suspicion, bool) {
+	cleared := r.RecordSuccesses([]uint64{fingerprint})
+	if len(cleared) == 0 {
+		return wire.Suspicion{}, false
+	}
+	return cleared[0], true
+}
+
 // merge merges suspicions of another process and returns those that changed.
 func merge(r *Registry, suspicions []wire.Suspicion) []wire.Suspicion {
 	changed, _ := r.Receive(Update{Suspicions: suspicions})
@@ -72,23 +88,23 @@
 	now := time.Unix(1000, 0)
 	r := testRegistry(&now)
 	one, two := wire.Crash{Agent: "a", ServerStart: "1"}, wire.Crash{Agent: "b", ServerStart: "1"}
-	old := r.AddCrash(7, "x", one)
-	r.AddCrash(7, "x", one)
+	old := addCrash(r, 7, "x", one)
+	addCrash(r, 7, "x", one)
 	is.Equal(r.State(7), Suspect)
-	cleared, ok := r.RecordSuccess(7)
+	cleared, ok := recordSuccess(r, 7)
 	is.True(ok)
 	is.Equal(cleared.Lifts, uint32(1))
 	is.Equal(len(merge(r, []wire.Suspicion{old})), 0) // a late copy is ignored
 	is.Equal(r.State(7), Clear)
-	r.AddCrash(7, "x", one)
-	r.AddCrash(7, "x", two)
+	addCrash(r, 7, "x", one)
+	addCrash(r, 7, "x", two)
 	is.Equal(r.State(7), Quarantined)
-	_, ok = r.RecordSuccess(7)
+	_, ok = recordSuccess(r, 7)
 	is.True(!ok)
 	_, ok = r.Lift(7)
 	is.True(ok)
 	is.Equal(r.State(7), Clear)
-	r.AddCrash(7, "x", one)
+	addCrash(r, 7, "x", one)
 	now = now.Add(suspicionLifetime)
 	is.Equal(r.State(7), Clear)
 	is.Equal(len(r.List()), 0)
@@ -100,11 +116,11 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	r := testRegistry(&now)
-	r.AddCrash(0, "x", wire.Crash{Agent: "a"})
-	r.AddCrash(0, "x", wire.Crash{Agent: "b"})
+	addCrash(r, 0, "x", wire.Crash{Agent: "a"})
+	addCrash(r, 0, "x", wire.Crash{Agent: "b"})
 	for f := uint64(1); f < maxEntries+10; f++ {
 		now = now.Add(time.Millisecond)
-		r.AddCrash(f, "x", wire.Crash{Agent: "a"})
+		addCrash(r, f, "x", wire.Crash{Agent: "a"})
 	}
 	is.Equal(len(r.List()), maxEntries)
 	is.Equal(r.State(0), Quarantined)
@@ -123,15 +139,15 @@
 	is := is.New(t)
 	r := NewRegistry()
 	is.True(!r.KnownSafe(1))
-	r.RecordSuccess(1)
+	recordSuccess(r, 1)
 	is.True(r.KnownSafe(1))
-	s := r.AddCrash(1, "alpha", wire.Crash{Agent: "agent-1", ServerStart: "1"})
+	s := addCrash(r, 1, "alpha", wire.Crash{Agent: "agent-1", ServerStart: "1"})
 	is.True(!r.KnownSafe(1))
 	is.Equal(len(r.CrashedAgents(1)), 1)
 	merge(r, []wire.Suspicion{{Fingerprint: 1, Remaining: s.Remaining, Lifts: 1}})
 	is.True(!r.KnownSafe(1))
 	for i := range uint64(4 * generationSize) {
-		r.RecordSuccess(i + 10)
+		recordSuccess(r, i+10)
 	}
 	is.True(len(r.knownSafe.current)+len(r.knownSafe.previous) <= 2*generationSize)
 }
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -195,9 +195,10 @@
 }
 
 // Receive merges what another process tells. It returns the suspicions that changed the
-// registry, which must be forwarded if not all processes receive them. It clears new suspicions of fingerprints that this process knows to be safe, and
-// returns these, which must be published. A fingerprint that is cleared in this way has to
-// prove itself again: it may have become unsafe.
+// registry, which must be forwarded if not all processes receive them. It clears new
+// suspicions of fingerprints that this process knows to be safe, and returns these, which
+// must be published. A fingerprint that is cleared in this way has to prove itself again:
+// it may have become unsafe.
 func (r *Registry) Receive(u Update) (changed, cleared []wire.Suspicion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
