gateway: log and count retries taken, denied and sent, by service

The logs said which requests were repeated, but not what the budget had counted at that moment, nor how long a retry waited between its decision and its send, nor the service of a denied retry. Without these the hypotheses (a lost count, one budget for all services, a send in a later window) look the same.

retry_taken and retry_denied have the service, the cause and the state of the budget; repeat_sent has the service and the time since the retry was taken. The counters are by service.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -41,6 +41,9 @@
 		// lost on it could not be sent again.
 		client = g.oneShotClient
 	}
+	if len(r.tried) > 0 {
+		g.recordRepeat(r, p)
+	}
 	r.tried = append(r.tried, p.backend.Server.ID)
 	resp, err := client.Do(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -130,32 +133,6 @@
 	return errors.As(err, &n) && n.Timeout()
 }
 
-// mayRetry reports whether a request may be sent to another server after an attempt,
-// and takes the retry from the budget.
-func (g *Gateway) mayRetry(r *request, s sendResult) bool {
-	if len(r.tried) >= maxSends || r.remaining() < minRemaining {
-		return false
-	}
-	if s.verdict != verdict.NotRun {
-		if !r.route.Idempotent() || r.runs >= r.route.MaxServers {
-			return false
-		}
-	}
-	if !g.retryBudget.Take() {
-		g.Metrics.RetriesDenied.Inc(1)
-		return false
-	}
-	return true
-}
-
-const (
-	// maxSends limits the number of servers that one request is sent to, including
-	// those that did not run it.
-	maxSends = 3
-	// minRemaining is the shortest remaining time with which an attempt is started.
-	minRemaining = 20 * time.Millisecond
-)
-
 func retryable(status int) bool { return status >= http.StatusInternalServerError }
 
 // kindName returns the name of a route's kind for logs and metrics.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,6 +231,8 @@
 	deadline time.Time
 	// tried holds the IDs of the servers that the request was sent to.
 	tried []string
+	// retryTakenAt is when the latest retry was taken from the budget.
+	retryTakenAt time.Time
 	// runs counts the servers that may have run the request.
 	runs int
 	// fingerprints identify the request and the properties that it shares with others.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,8 +12,6 @@
 	scope tally.Scope
 	// Refused counts the requests that the gateway refused without relaying a response.
 	Refused tally.Counter
-	// RetriesDenied counts the retries that the retry budget did not allow.
-	RetriesDenied tally.Counter
 	// Resumed counts the streams that were continued at another server.
 	Resumed tally.Counter
 	// Broken counts the attempts whose connection broke before the response was
@@ -45,7 +43,6 @@
 	m := &Metrics{
 		scope:          scope,
 		Refused:        scope.Counter("requests_refused"),
-		RetriesDenied:  scope.Counter("retries_denied"),
 		Resumed:        scope.Counter("streams_resumed"),
 		Broken:         scope.Counter("attempts_broken"),
 		Quarantined:    scope.Counter("requests_quarantined"),
@@ -62,6 +59,17 @@
 	return m
 }
 
+// repeatsSent counts the requests for a service that were sent once more after an earlier
+// attempt.
+func (m *Metrics) repeatsSent(service string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"service": service}).Counter("repeats_sent")
+}
+
+// retriesDenied counts the retries at a service that the retry budget did not allow.
+func (m *Metrics) retriesDenied(service string) tally.Counter {
+	return m.scope.Tagged(map[string]string{"service": service}).Counter("retries_denied")
+}
+
 // Ended records the status and the duration of a finished request.
 func (m *Metrics) Ended(status int, took time.Duration) {
 	m.Took.RecordDuration(took)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -299,7 +299,7 @@
 		return false
 	}
 	defer free.release()
-	return !s.service.pool.ShouldEvacuate(free.backend) && s.g.retryBudget.Take()
+	return !s.service.pool.ShouldEvacuate(free.backend) && s.g.takeRetry(s.r, errSlowServer.Error())
 }
 
 // recordEvent records an event that was sent to the caller.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -61,6 +61,23 @@
 	return true
 }
 
+// Usage is the state of a budget: the requests and retries counted in the window, and the
+// fixed number of retries.
+type Usage struct{ Requests, Retries, Fixed float64 }
+
+// Usage returns the current state, for logs.
+func (w *WindowBudget) Usage() Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	u := Usage{Fixed: w.slack}
+	for k := range w.requests {
+		u.Requests += w.requests[k]
+		u.Retries += w.retries[k]
+	}
+	return u
+}
+
 // advance clears the slices that have left the window and returns the index of the
 // current slice.
 func (w *WindowBudget) advance() int {
