events: write each log line in one piece

The logfmt handler writes every key and value by itself, and the sink takes each write for one line: it limits 400 writes a second, not 400 lines, and drops parts of lines. Lines are now collected and written whole, so the limit is what OPERATIONS.md says.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -55,10 +55,27 @@
 		Clock:   NewClock(),
 		process: process,
 		start:   start,
-		logger:  &log.Logger{Handler: logfmt.New(w), Level: log.InfoLevel},
+		logger:  &log.Logger{Handler: logfmt.New(&lineWriter{to: w}), Level: log.InfoLevel},
 	}
 }
 
+// lineWriter passes on whole lines. The logfmt handler writes each key and value by
+// itself, under its own lock.
+type lineWriter struct {
+	to   io.Writer
+	line []byte
+}
+
+func (l *lineWriter) Write(p []byte) (int, error) {
+	l.line = append(l.line, p...)
+	if len(p) == 0 || p[len(p)-1] != '\n' {
+		return len(p), nil
+	}
+	_, err := l.to.Write(l.line)
+	l.line = l.line[:0]
+	return len(p), err
+}
+
 // Record logs an event and adds it to the ring. request is empty if the event
 // belongs to no request.
 func (r *Recorder) Record(name string, request fleet.RequestID, fields ...Field) {
