--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -288,13 +288,13 @@
 drain_ms = %d
 stop_s = %g
 revoke_ms = %d
-retry_ratio = 0.2
-retry_window_s = 10
-retry_slack = 90
+retry_ratio = %g
+retry_window_s = %g
+retry_slack = %d
 address_lifetime_s = 5
 stall_ms = %d
 `, name, zone(n), listen, free, strings.Join(seeds, ", "), store, engine, drainBound.Milliseconds(), stopBound.Seconds(),
-		revokeBound.Milliseconds(), f.group.Parameters.Stall.Milliseconds())
+		revokeBound.Milliseconds(), retryRatio, retryWindow.Seconds(), retrySlack, f.group.Parameters.Stall.Milliseconds())
 	file := filepath.Join(dir, name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
