retry: budgets by service that count a retry when it is sent

Cause: the budget of a gateway did not count what the rule counts. - One budget for all services: requests for the plain service paid for retries at the model service. - A window of ten slices, the last one begun, is 9 to 10 s long. - A retry counted when it was decided; it may then wait in the queue for up to a second (taken_ms of repeat_sent), and arrive in the next window. - The window followed the time of day: a clock that is set forward by some seconds emptied a part of it.

Each service now has its own window of 50 slices, in monotonic time. Retries leave it late and requests early. A retry is reserved when it is decided, counts from when it is sent, and is returned if it is not sent. As the count is that of the rule, 0.9 of the ratio and of the fixed number are used.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,14 +47,6 @@
 	// maxIdleConnsPerServer and idleConnTimeout limit the idle connections to a server.
 	maxIdleConnsPerServer = 32
 	idleConnTimeout       = 10 * time.Second
-	// retryRatioShare is the fraction of the fleet's retry ratio that this process
-	// uses. The rest covers a process that restarts and loses its count of the retries
-	// it has sent.
-	retryRatioShare = 0.8
-	// retrySlackShare is the fraction of the fleet's fixed number of retries that
-	// gateways use. Callers' own retries are counted separately, and gateways that do
-	// not see each other use more than their share.
-	retrySlackShare = 0.7
 	// maxBufferedBytes limits a plain response that is buffered until it is complete,
 	// which allows a retry if it breaks off. A longer one counts as a failed attempt.
 	maxBufferedBytes = 256 << 10
@@ -69,9 +61,10 @@
 	Metrics  *Metrics
 	// RevocationDelay is how long a key may still be used after it was removed.
 	RevocationDelay time.Duration
-	// RetryRatio, RetrySlack and RetryWindow set the retry budget of this process.
-	RetryRatio, RetrySlack float64
-	RetryWindow            time.Duration
+	// Retries limits the retries, and AnnounceRetry is called with a service before a retry
+	// is sent there.
+	Retries       *retry.ServiceBudgets
+	AnnounceRetry func(service string)
 	// MemoryBytes is the memory available to the process.
 	MemoryBytes int64
 	// Quarantine holds the suspicions that this gateway knows, and Suspicions exchanges
@@ -84,7 +77,6 @@
 type Gateway struct {
 	Config
 	services        *services
-	retryBudget     *retry.WindowBudget
 	keepAliveClient *http.Client
 	oneShotClient   *http.Client
 	bodyBytes       atomic.Int64
@@ -102,7 +94,6 @@
 	g := &Gateway{
 		Config:          c,
 		services:        newServices(c.Zone, c.Recorder),
-		retryBudget:     retry.NewWindowBudget(c.RetryRatio*retryRatioShare, 0, c.RetryWindow),
 		keepAliveClient: &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		oneShotClient:   &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
 	}
@@ -191,17 +182,8 @@
 	pool.Report(server, load.Load)
 }
 
-// SetGateways sets the number of gateways that share the backend servers and the retry
-// budget. Until the number is settled, this gateway leaves the fixed part of the budget
-// to the gateways whose number is settled.
-func (g *Gateway) SetGateways(n int, settled bool) {
-	slack := 0.0
-	if settled {
-		slack = g.RetrySlack * retrySlackShare / float64(max(n, 1))
-	}
-	g.retryBudget.SetMinRetries(slack)
-	g.services.setGateways(n, settled)
-}
+// SetGateways sets the number of gateways that share the backend servers.
+func (g *Gateway) SetGateways(n int, settled bool) { g.services.setGateways(n, settled) }
 
 // SetLimit sets how many requests each rank of a model service may run at a time, and
 // the duration of a forward pass of its group, 0 if that is unknown.
@@ -231,7 +213,9 @@
 	deadline time.Time
 	// tried holds the IDs of the servers that the request was sent to.
 	tried []string
-	// retryTakenAt is when the latest retry was taken from the budget.
+	// retryTaken is true while a retry is taken from the budget and not sent, and
+	// retryTakenAt is when the latest one was taken.
+	retryTaken   bool
 	retryTakenAt time.Time
 	// runs counts the servers that may have run the request.
 	runs int
@@ -269,6 +253,8 @@
 		return
 	}
 	defer g.bodyBytes.Add(-int64(len(r.body)))
+	defer g.returnRetry(r)
+	g.Retries.Request(r.service.Name)
 	ctx, cancel := context.WithDeadline(in.Context(), r.deadline)
 	defer cancel()
 	if r.route.Kind == deployment.Streaming {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -25,6 +25,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/retry"
 )
 
 // localSuspicions is the exchange of a gateway that has no others beside it.
@@ -219,8 +220,10 @@
 	log := &lockedBuffer{}
 	recorder := events.NewRecorder("test", 1, log)
 	f := feed.New(src, src, recorder, func() time.Duration { return 0 })
+	budgets := retry.NewServiceBudgets(0.2, 10*time.Second)
+	budgets.SetFixed(100, 100)
 	g := New(Config{Feed: f, Headers: testHeaders{}, Recorder: recorder, Metrics: NewMetrics(tally.NoopScope),
-		RevocationDelay: revocationDelay, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, MemoryBytes: 1 << 28,
+		RevocationDelay: revocationDelay, Retries: budgets, AnnounceRetry: func(string) {}, MemoryBytes: 1 << 28,
 		Quarantine: quarantine.NewRegistry(), Suspicions: localSuspicions{quarantine.NewTrials()}})
 	g.SetGateways(1, true)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -18,7 +18,6 @@
 
 // servePlain forwards a request to a plain service and relays the whole response.
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, r *request) {
-	g.retryBudget.Request()
 	x := g.services.get(r.service.Name)
 	var last sendResult
 	for {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -31,22 +31,34 @@
 
 // takeRetry takes a retry of a request from the budget.
 func (g *Gateway) takeRetry(r *request, cause string) bool {
-	taken := g.retryBudget.Take()
+	service := r.service.Name
+	r.retryTaken, r.retryTakenAt = g.Retries.Reserve(service), time.Now()
 	name := "retry_taken"
-	if !taken {
+	if !r.retryTaken {
 		name = "retry_denied"
-		g.Metrics.retriesDenied(r.service.Name).Inc(1)
+		g.Metrics.retriesDenied(service).Inc(1)
 	}
-	u := g.retryBudget.Usage()
-	g.Recorder.Record(name, r.ID, events.F("service", r.service.Name), events.F("cause", cause), events.F("requests", u.Requests),
-		events.F("retries", u.Retries), events.F("fixed", u.Fixed))
-	r.retryTakenAt = time.Now()
-	return taken
+	u := g.Retries.Usage(service)
+	g.Recorder.Record(name, r.ID, events.F("service", service), events.F("cause", cause), events.F("requests", u.Own.Requests),
+		events.F("retries", u.Own.Retries), events.F("fixed", u.Fixed), events.F("others_requests", u.Others.Requests), events.F("others_retries", u.Others.Retries))
+	return r.retryTaken
 }
 
-// recordRepeat logs and counts a request that is sent once more, to the server of a slot.
+// returnRetry returns a retry that was taken and not sent to the budget.
+func (g *Gateway) returnRetry(r *request) {
+	if r.retryTaken {
+		r.retryTaken = false
+		g.Retries.Cancel(r.service.Name)
+	}
+}
+
+// recordRepeat counts a request that is about to be sent once more, to the server of a slot.
 func (g *Gateway) recordRepeat(r *request, p *slot) {
-	g.Metrics.repeatsSent(r.service.Name).Inc(1)
-	g.Recorder.Record("repeat_sent", r.ID, events.F("service", r.service.Name), events.F("server", p.backend.Server.ID),
+	service := r.service.Name
+	r.retryTaken = false
+	g.Retries.Sent(service)
+	g.AnnounceRetry(service)
+	g.Metrics.repeatsSent(service).Inc(1)
+	g.Recorder.Record("repeat_sent", r.ID, events.F("service", service), events.F("server", p.backend.Server.ID),
 		events.F("tried", len(r.tried)), events.F("taken_ms", time.Since(r.retryTakenAt).Milliseconds()))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,7 +66,6 @@
 
 // serveStream forwards a streaming request.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *request) {
-	g.retryBudget.Request()
 	x := g.services.get(r.service.Name)
 	p, refusal := g.waitForRun(ctx, x, r)
 	if refusal != nil {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
+	"github.com/coltsfootbay/coltsfootbay/internal/retry"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 )
 
@@ -48,6 +49,9 @@
 	memoryFraction = 0.7
 	// metricsPortOffset is added to listen.first_free_port to get the metrics port.
 	metricsPortOffset = 10
+	// retryShare is the fraction of the fleet's retry budget that gateways use. The rest is
+	// for counts that cannot be exact, such as the time between a send and its arrival.
+	retryShare = 0.9
 	// logFlushTimeout limits how long the process waits at exit for queued log
 	// lines to be written.
 	logFlushTimeout = 300 * time.Millisecond
@@ -67,6 +71,7 @@
 	// suspicions exchanges suspicions of requests that crash servers.
 	suspicions *peers.SuspicionExchange
 	control    *mapcontrol.Controller
+	retries    *retry.ServiceBudgets
 	callers    *http.Server
 }
 
@@ -105,11 +110,11 @@
 	p.members = peers.NewMembers(p.self, config.Peers.Seeds, p.recorder)
 	registry := quarantine.NewRegistry()
 	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
+	p.retries = retry.NewServiceBudgets(config.Bounds.RetryRatio*retryShare, time.Duration(config.Bounds.RetryWindowS*float64(time.Second)))
 	p.gateway = gateway.New(gateway.Config{
 		Zone: fleet.AvailabilityZone(config.Zone), Feed: p.feed, Headers: adapter.Headers, Recorder: p.recorder,
 		Metrics: gateway.NewMetrics(p.metrics.Scope), RevocationDelay: config.Bounds.RevocationDelay(),
-		RetryRatio: config.Bounds.RetryRatio, RetrySlack: config.Bounds.RetrySlack,
-		RetryWindow: time.Duration(config.Bounds.RetryWindowS * float64(time.Second)),
+		Retries: p.retries, AnnounceRetry: func(string) {},
 		MemoryBytes: int64(config.Limits.MemoryMB) * 1e6,
 		Quarantine:  registry, Suspicions: p.suspicions,
 	})
@@ -237,7 +242,14 @@
 func (p *gatewayProcess) sendHellos() {
 	to, hello := p.members.Tick()
 	hello.Suspicions = p.suspicions.Digest()
-	p.gateway.SetGateways(p.members.Count())
+	n, settled := p.members.Count()
+	p.gateway.SetGateways(n, settled)
+	fleet := p.config.Bounds.RetrySlack * retryShare
+	part := 0.0
+	if settled {
+		part = fleet / float64(n)
+	}
+	p.retries.SetFixed(fleet, part)
 	for _, address := range to {
 		p.send(address, hello)
 	}
