gateways keep the retry budget across restarts

Cause: what a gateway has spent was lost with its process, and not only its part of the fixed number. Retries are paid by the requests of the last window: at the first refusal a gateway sends within 3 s what 10 s of requests have saved (26 to 33 retries each), and its successor saves anew from its own requests. Two more: the fixed number was divided by the gateways seen at the moment, so that those which remain took the part of those that had just spent it; and callers that move from a stopping gateway to others paid at both.

A gateway now records what it counts at two other gateways and two rank agents, each retry before it is sent. A new gateway asks for its predecessor's record and goes on with it. If nobody has one, or its predecessor was last heard more than 4 s before the start, it sends no retries until those of any predecessor have left the window. The fixed number is divided by all gateways that were heard in the last 30 s; one that has heard nobody has no part of it. Counts with retries also go to all gateways, and the sum over all that are known limits each of them, which can only reduce what it sends.

Considered and not measured: waiting a window after each start costs a restart 10 s of retries; a token bucket that starts empty keeps the rule without any memory, but saves less while there are no failures.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -52,6 +52,13 @@
 	// retryShare is the fraction of the fleet's retry budget that gateways use. The rest is
 	// for counts that cannot be exact, such as the time between a send and its arrival.
 	retryShare = 0.9
+	// hellosPerAnnouncement is the number of hellos for each announcement of the counts of
+	// requests and retries.
+	hellosPerAnnouncement = 3
+	// firstRecallWait and maxRecallWait bound the time between two queries for the
+	// predecessor's retries.
+	firstRecallWait = 50 * time.Millisecond
+	maxRecallWait   = 400 * time.Millisecond
 	// logFlushTimeout limits how long the process waits at exit for queued log
 	// lines to be written.
 	logFlushTimeout = 300 * time.Millisecond
@@ -70,9 +77,11 @@
 	socket   *peers.Socket
 	// suspicions exchanges suspicions of requests that crash servers.
 	suspicions *peers.SuspicionExchange
-	control    *mapcontrol.Controller
 	retries    *retry.ServiceBudgets
-	callers    *http.Server
+	// retryExchange keeps the counts of retries across restarts.
+	retryExchange *peers.RetryExchange
+	control       *mapcontrol.Controller
+	callers       *http.Server
 }
 
 // RunGateway runs a gateway and logs to w. It returns nil after a graceful
@@ -111,10 +120,11 @@
 	registry := quarantine.NewRegistry()
 	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
 	p.retries = retry.NewServiceBudgets(config.Bounds.RetryRatio*retryShare, time.Duration(config.Bounds.RetryWindowS*float64(time.Second)))
+	p.retryExchange = peers.NewRetryExchange(p.self, p.members, p.retries, p.send)
 	p.gateway = gateway.New(gateway.Config{
 		Zone: fleet.AvailabilityZone(config.Zone), Feed: p.feed, Headers: adapter.Headers, Recorder: p.recorder,
 		Metrics: gateway.NewMetrics(p.metrics.Scope), RevocationDelay: config.Bounds.RevocationDelay(),
-		Retries: p.retries, AnnounceRetry: func(string) {},
+		Retries: p.retries, AnnounceRetry: p.retryExchange.AnnounceService,
 		MemoryBytes: int64(config.Limits.MemoryMB) * 1e6,
 		Quarantine:  registry, Suspicions: p.suspicions,
 	})
@@ -155,6 +165,7 @@
 	group.Go(func() error { p.gateway.Run(running); return nil })
 	group.Go(func() error { p.control.Run(running); return nil })
 	group.Go(func() error { p.announce(running); return nil })
+	group.Go(func() error { p.recallRetries(running); return nil })
 	group.Go(func() error {
 		watchSettings(running, p.config, load, p.recorder, p.apply)
 		return nil
@@ -229,8 +240,11 @@
 func (p *gatewayProcess) announce(ctx context.Context) {
 	tick := time.NewTicker(peers.HelloInterval)
 	defer tick.Stop()
-	for {
+	for n := 0; ; n++ {
 		p.sendHellos()
+		if n%hellosPerAnnouncement == 0 {
+			p.retryExchange.Announce()
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -239,22 +253,42 @@
 	}
 }
 
+// recallRetries finds out what the predecessor of this process has counted for its retry
+// budgets.
+func (p *gatewayProcess) recallRetries(ctx context.Context) {
+	began := time.Now()
+	for wait := firstRecallWait; !p.retryExchange.Recall(); wait = min(2*wait, maxRecallWait) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+	p.recorder.Record("retries_recalled", "", events.F("after_ms", time.Since(began).Milliseconds()), events.F("held_ms", p.retries.HeldFor().Milliseconds()))
+}
+
 func (p *gatewayProcess) sendHellos() {
 	to, hello := p.members.Tick()
 	hello.Suspicions = p.suspicions.Digest()
-	n, settled := p.members.Count()
-	p.gateway.SetGateways(n, settled)
-	fleet := p.config.Bounds.RetrySlack * retryShare
-	part := 0.0
-	if settled {
-		part = fleet / float64(n)
-	}
-	p.retries.SetFixed(fleet, part)
+	hello.Agents = p.retryExchange.Agents()
+	p.gateway.SetGateways(p.members.Count())
+	p.setFixedRetries()
 	for _, address := range to {
 		p.send(address, hello)
 	}
 }
 
+// setFixedRetries sets this gateway's part of the fixed number of retries.
+func (p *gatewayProcess) setFixedRetries() {
+	n, known := p.retryExchange.Sharers()
+	fleet := p.config.Bounds.RetrySlack * retryShare
+	part := fleet / float64(n)
+	if !known {
+		part = 0
+	}
+	p.retries.SetFixed(fleet, part)
+}
+
 // send sends a datagram. A failure is only counted, because the senders of all
 // messages tolerate lost datagrams.
 func (p *gatewayProcess) send(address string, m peers.Message) {
@@ -285,6 +319,7 @@
 	case *peers.Hello:
 		p.members.HandleHello(m)
 		p.suspicions.HandleHello(m)
+		p.retryExchange.AddAgents(m.Agents...)
 	case *peers.Suspicions:
 		p.suspicions.HandleSuspicions(m)
 	case *peers.TrialRequest:
@@ -293,9 +328,15 @@
 		p.suspicions.HandleTrialReply(m)
 	case *peers.TrialEnd:
 		p.suspicions.HandleTrialEnd(m)
+	case *peers.RetryRecord:
+		p.retryExchange.HandleRecord(m)
+	case *peers.RetryQuery:
+		p.retryExchange.HandleQuery(m)
 	case *peers.ControllerQuery:
+		p.retryExchange.AddAgents(m.Address)
 		p.send(m.Address, &peers.ControllerReply{Controller: p.members.Controller().ControlAddress, Gateways: p.otherGateways()})
 	case *peers.Report:
+		p.retryExchange.AddAgents(m.Agent)
 		p.control.HandleReport(m)
 	case *peers.ExpertCounts:
 		p.control.HandleExpertCounts(m)
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -153,6 +154,35 @@
 	return out
 }
 
+// Known returns the control addresses of the seeds and of all other gateways that are known,
+// also of silent ones.
+func (m *Members) Known() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := slices.Clone(m.seeds)
+	for address := range m.peers {
+		out = append(out, address)
+	}
+	slices.Sort(out)
+	own := m.self().ControlAddress
+	return slices.DeleteFunc(slices.Compact(out), func(address string) bool { return address == own })
+}
+
+// heard returns the number of gateways that were heard within forgetAfter, this one
+// included, and whether there are seeds other than this gateway.
+func (m *Members) heard() (n int, otherSeeds bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n = 1
+	for _, x := range m.peers {
+		if !x.lastHello.IsZero() {
+			n++
+		}
+	}
+	own := m.self().ControlAddress
+	return n, slices.ContainsFunc(m.seeds, func(seed string) bool { return seed != own })
+}
+
 // Coordinator returns the serving gateway that coordinates the trials of a service, by
 // rendezvous hashing. Gateways with different views of the others may briefly choose
 // different coordinators.
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/retry"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
@@ -23,6 +25,8 @@
 	kindTrialRequest
 	kindTrialReply
 	kindTrialEnd
+	kindRetryRecord
+	kindRetryQuery
 )
 
 // Peer describes a gateway to other gateways.
@@ -53,6 +57,36 @@
 	Known []string `cbor:"2,keyasint,omitempty"`
 	// Suspicions is the digest of the sender's suspicions; 0 if it has none.
 	Suspicions uint64 `cbor:"3,keyasint,omitempty"`
+	// Agents holds the addresses of some rank agents, the same at all gateways.
+	Agents []string `cbor:"4,keyasint,omitempty"`
+}
+
+// RetryRecord says what a gateway has counted for the retry budget of one service. It is
+// sent to the processes that keep it, and by these to the gateway's successor.
+type RetryRecord struct {
+	// Owner is the control address of the gateway, and Start its start.
+	Owner string        `cbor:"1,keyasint"`
+	Start fleet.StartID `cbor:"2,keyasint"`
+	// Sequence increases with each record of a start.
+	Sequence uint64 `cbor:"3,keyasint"`
+	// AgeMS is how long ago the record was made, in milliseconds.
+	AgeMS int64 `cbor:"4,keyasint,omitempty"`
+	// HeldMS is for how long the gateway was not going to send retries, in milliseconds.
+	HeldMS int64 `cbor:"5,keyasint,omitempty"`
+	// Gateways is the number of gateways that shared the fixed number of retries.
+	Gateways int `cbor:"6,keyasint,omitempty"`
+	// Service is empty in a record that only shows that the gateway runs. Requests and
+	// Retries are the counts by slice, the newest first.
+	Service  string   `cbor:"7,keyasint,omitempty"`
+	Requests []uint32 `cbor:"8,keyasint,omitempty"`
+	Retries  []uint32 `cbor:"9,keyasint,omitempty"`
+}
+
+// RetryQuery asks for the RetryRecords of a gateway.
+type RetryQuery struct {
+	// Owner is the control address of that gateway, and From that of the sender.
+	Owner string `cbor:"1,keyasint"`
+	From  string `cbor:"2,keyasint"`
 }
 
 // Suspicions carries a part of a quarantine.Update.
@@ -227,6 +261,8 @@
 func (*TrialRequest) kind() byte    { return kindTrialRequest }
 func (*TrialReply) kind() byte      { return kindTrialReply }
 func (*TrialEnd) kind() byte        { return kindTrialEnd }
+func (*RetryRecord) kind() byte     { return kindRetryRecord }
+func (*RetryQuery) kind() byte      { return kindRetryQuery }
 
 // Valid reports whether the rank and the size are within the bounds. An invalid size
 // could make the receiver allocate or iterate without limit.
@@ -265,6 +301,28 @@
 	return len(m.Fingerprints) <= maxFingerprints && len(m.Server) <= maxNameBytes
 }
 
+// maxSliceCount bounds the count of one slice, and maxHeldMS the times of a RetryRecord.
+const (
+	maxSliceCount = 1 << 24
+	maxHeldMS     = int64(time.Hour / time.Millisecond)
+)
+
+// Valid reports whether the content is within the bounds.
+func (m *RetryRecord) Valid() bool {
+	for _, counts := range [][]uint32{m.Requests, m.Retries} {
+		if len(counts) > retry.HistorySlices {
+			return false
+		}
+		for _, n := range counts {
+			if n > maxSliceCount {
+				return false
+			}
+		}
+	}
+	return len(m.Owner) <= maxNameBytes && len(m.Service) <= maxNameBytes && m.AgeMS >= 0 && m.AgeMS <= maxHeldMS &&
+		m.HeldMS >= 0 && m.HeldMS <= maxHeldMS && m.Gateways >= 0 && m.Gateways <= MaxRanks
+}
+
 // MaxRanks limits the ranks of a group; the largest group in use has 72.
 const MaxRanks = 4096
 
@@ -290,6 +348,10 @@
 		return &TrialReply{}
 	case kindTrialEnd:
 		return &TrialEnd{}
+	case kindRetryRecord:
+		return &RetryRecord{}
+	case kindRetryQuery:
+		return &RetryQuery{}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/peers/retryexchange.go
@@ -0,0 +1,253 @@
+package peers
+
+import (
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/retry"
+)
+
+const (
+	// maxSilence is how long before the start of a process its predecessor may have been
+	// heard last. A predecessor that was cut off for longer may have sent retries that
+	// nobody knows.
+	maxSilence = 4 * time.Second
+	// recallTime is how long after the first record of a predecessor others are waited for.
+	recallTime = 300 * time.Millisecond
+	// keeperPeers and keeperAgents are the numbers of gateways and agents that keep the
+	// records of a gateway.
+	keeperPeers  = 2
+	keeperAgents = 2
+	// agentLifetime is how long an agent is known after it was last named.
+	agentLifetime = 5 * time.Second
+	// maxAgents bounds the agents that a gateway knows, and maxAgentsPerHello those in a
+	// Hello.
+	maxAgents         = 1024
+	maxAgentsPerHello = 4
+)
+
+// RetryExchange tells other processes what this gateway has counted for its retry budgets,
+// and asks them at the start what its predecessor had. It is safe for concurrent use.
+//
+// The record of a retry is sent before the retry, to two gateways and two rank agents: all
+// gateways may be killed together. A gateway whose predecessor nobody remembers, or that
+// reaches nobody, sends no retries for one window.
+type RetryExchange struct {
+	self    func() Peer
+	members *Members
+	budgets *retry.ServiceBudgets
+	ledger  *RetryLedger
+	send    func(address string, m Message)
+	now     func() time.Time
+	started time.Time
+
+	mu       sync.Mutex
+	sequence uint64
+	agents   map[string]time.Time // by address, when it was last named
+	// recalled holds the predecessor's records by service until recallDone.
+	recalled   map[string]keptRecord
+	recalledAt time.Time
+	recallDone bool
+	// formerGateways is the number of gateways that the predecessor knew.
+	formerGateways int
+}
+
+// NewRetryExchange returns an exchange for this gateway's budgets, which it holds until the
+// predecessor's counts are known. The caller must call Recall and Announce repeatedly.
+func NewRetryExchange(self func() Peer, members *Members, budgets *retry.ServiceBudgets, send func(address string, m Message)) *RetryExchange {
+	ledger := NewRetryLedger()
+	budgets.Hold()
+	budgets.SetOthers(func(service string) retry.Sums { return ledger.Sum(service, budgets) })
+	return &RetryExchange{
+		self: self, members: members, budgets: budgets, ledger: ledger, send: send, now: time.Now, started: time.Now(),
+		agents: map[string]time.Time{}, recalled: map[string]keptRecord{},
+	}
+}
+
+// AddAgents records the addresses of agents that were just heard of.
+func (x *RetryExchange) AddAgents(addresses ...string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	for _, a := range addresses {
+		if _, known := x.agents[a]; known || len(x.agents) < maxAgents {
+			x.agents[a] = now
+		}
+	}
+}
+
+// Agents returns the agents that keep the records of all gateways, and some that take their
+// place, for the next Hello.
+func (x *RetryExchange) Agents() []string { return x.chosenAgents(maxAgentsPerHello) }
+
+// chosenAgents returns up to n agents, the same at all gateways that know the same agents.
+func (x *RetryExchange) chosenAgents(n int) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	var out []string
+	for a, at := range x.agents {
+		if now.Sub(at) > agentLifetime {
+			delete(x.agents, a)
+			continue
+		}
+		out = append(out, a)
+	}
+	return highestHashes("", out, n)
+}
+
+// highestHashes returns the n addresses with the highest hashes under a key.
+func highestHashes(key string, addresses []string, n int) []string {
+	sort.Slice(addresses, func(i, j int) bool {
+		return xxhash.Sum64String(key+"\x00"+addresses[i]) > xxhash.Sum64String(key+"\x00"+addresses[j])
+	})
+	return addresses[:min(n, len(addresses))]
+}
+
+// Recall asks for the records of the predecessor and applies them once the first ones have
+// arrived. It returns true when nothing remains to be asked.
+func (x *RetryExchange) Recall() (done bool) {
+	self := x.self().ControlAddress
+	x.mu.Lock()
+	if !x.recallDone && !x.recalledAt.IsZero() && x.now().Sub(x.recalledAt) >= recallTime {
+		x.restore()
+	}
+	// Without a record, the retries of any predecessor have left the window by then.
+	x.recallDone = x.recallDone || x.budgets.HeldFor() == 0
+	done = x.recallDone
+	x.mu.Unlock()
+	if done {
+		return true
+	}
+	for _, address := range append(x.members.Known(), x.chosenAgents(maxAgents)...) {
+		x.send(address, &RetryQuery{Owner: self, From: self})
+	}
+	return false
+}
+
+// restore applies the predecessor's records. The caller holds the lock.
+func (x *RetryExchange) restore() {
+	now := x.now()
+	held := time.Duration(0)
+	for _, k := range x.recalled {
+		x.budgets.Restore(k.history(), k.age(now))
+		held = max(held, time.Duration(k.HeldMS)*time.Millisecond-k.age(now))
+		x.formerGateways = max(x.formerGateways, k.Gateways)
+	}
+	x.budgets.HoldFor(held)
+	x.recallDone = true
+}
+
+// HandleRecord keeps a record of another gateway, or uses one of this gateway's predecessor.
+func (x *RetryExchange) HandleRecord(m *RetryRecord) {
+	self := x.self()
+	if m.Owner != self.ControlAddress {
+		x.ledger.Keep(m)
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.now()
+	silent := time.Duration(m.AgeMS)*time.Millisecond - now.Sub(x.started)
+	if x.recallDone || m.Start == self.Start || silent > maxSilence {
+		return
+	}
+	if old, known := x.recalled[m.Service]; known && !m.newer(&old.RetryRecord) {
+		return
+	}
+	x.recalled[m.Service] = keptRecord{RetryRecord: *m, at: now}
+	if x.recalledAt.IsZero() {
+		x.recalledAt = now
+	}
+}
+
+// newer reports whether m was made after other. Starts are compared by the ages, because the
+// time of day, from which they are made, may jump.
+func (m *RetryRecord) newer(other *RetryRecord) bool {
+	if m.Start != other.Start {
+		return m.AgeMS < other.AgeMS
+	}
+	return m.Sequence > other.Sequence
+}
+
+// HandleQuery sends the records that another gateway asks for.
+func (x *RetryExchange) HandleQuery(q *RetryQuery) {
+	for _, m := range x.ledger.Answer(q) {
+		x.send(q.From, m)
+	}
+}
+
+// Announce sends this gateway's counts to their keepers, with an empty record, which shows
+// that there are no others. Counts with retries are sent to all gateways, which take them
+// into account. It does nothing before Recall is done.
+func (x *RetryExchange) Announce() {
+	others, keepers := x.others(), x.keepers()
+	for _, h := range append(x.budgets.History(), retry.History{}) {
+		to := keepers
+		if slices.Max(append(h.Retries, 0)) > 0 {
+			to = append(x.chosenAgents(keeperAgents), others...)
+		}
+		x.announce(h.Service, to)
+	}
+}
+
+// AnnounceService sends the counts of one service to their keepers, before a retry is sent
+// there.
+func (x *RetryExchange) AnnounceService(service string) { x.announce(service, x.keepers()) }
+
+// keepers returns the processes that keep this gateway's counts.
+func (x *RetryExchange) keepers() []string {
+	return append(highestHashes(x.self().ControlAddress, x.others(), keeperPeers), x.chosenAgents(keeperAgents)...)
+}
+
+// others returns the control addresses of the other gateways that are alive.
+func (x *RetryExchange) others() []string {
+	own := x.self().ControlAddress
+	var out []string
+	for _, p := range x.members.Alive() {
+		if p.ControlAddress != own {
+			out = append(out, p.ControlAddress)
+		}
+	}
+	return out
+}
+
+func (x *RetryExchange) announce(service string, to []string) {
+	self := x.self()
+	gateways, _ := x.Sharers()
+	m := &RetryRecord{Owner: self.ControlAddress, Start: self.Start, Gateways: gateways, Service: service}
+	x.mu.Lock()
+	done := x.recallDone
+	x.sequence++
+	// A later sequence number must not have earlier counts.
+	m.Sequence = x.sequence
+	m.HeldMS = x.budgets.HeldFor().Milliseconds()
+	if service != "" {
+		h := x.budgets.ServiceHistory(service)
+		m.Requests, m.Retries = h.Requests, h.Retries
+	}
+	x.mu.Unlock()
+	if !done {
+		return
+	}
+	for _, address := range to {
+		x.send(address, m)
+	}
+}
+
+// Sharers returns the number of gateways that share the fixed number of retries: all that
+// were heard within forgetAfter, because one that is silent may only be cut off. known is
+// false while this gateway has heard no other although it should.
+func (x *RetryExchange) Sharers() (n int, known bool) {
+	n, otherSeeds := x.members.heard()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.now().Sub(x.started) < forgetAfter {
+		n = max(n, x.formerGateways)
+	}
+	return n, n > 1 || !otherSeeds
+}
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -36,6 +36,8 @@
 // Agent reports the state of one rank to the controller and prepares expert maps.
 type Agent struct {
 	Config
+	// retries keeps the gateways' counts of retries: all gateways may restart together.
+	retries *peers.RetryLedger
 
 	mu sync.Mutex
 	// controller is the address of the controller, and lastMessage when a message last
@@ -57,7 +59,7 @@
 }
 
 // New returns an agent. The caller must also call Run.
-func New(c Config) *Agent { return &Agent{Config: c} }
+func New(c Config) *Agent { return &Agent{Config: c, retries: peers.NewRetryLedger()} }
 
 // Run sends reports to the controller until ctx is done.
 func (a *Agent) Run(ctx context.Context) {
@@ -147,6 +149,12 @@
 		a.setController(m.Controller)
 	case *peers.Group:
 		a.setController(m.Controller)
+	case *peers.RetryRecord:
+		a.retries.Keep(m)
+	case *peers.RetryQuery:
+		for _, record := range a.retries.Answer(m) {
+			a.Send(m.From, record)
+		}
 	}
 }
 
