gateway: compare a response's id before its refusal is believed

What callers saw (report of other operators): a faulty server writes an earlier refusal once more on a kept connection, and a request that ran or runs is answered with 'not run, try again', or runs at a second server.

It could happen here. send looked at 'not run' before it compared the id of the response with that of the request, on kept and on new connections, with an earlier id and without one. For safe requests and streams that may be resumed, the run did not count against the servers that the route allows; an unsafe request ran at two servers and was answered with 503.

A response without the id of the request is now no response to it: the verdict is that the request may have run. Its connection is closed, because the real response may follow on it and would reach the next request.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -33,8 +33,8 @@
 // have arrived. lastEvent is the ID of the event after which a stream continues, or -1.
 func (g *Gateway) send(ctx context.Context, r *request, p *slot, lastEvent int64) sendResult {
 	out := g.outgoing(ctx, r, p, lastEvent)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connection atomic.Pointer[net.Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) }}
 	client := g.keepAliveClient
 	if !r.route.Idempotent() {
 		// The server may close a kept connection at any time, and a request that is
@@ -48,17 +48,22 @@
 	resp, err := client.Do(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		s := sendResult{err: err, verdict: verdict.MayHaveRun}
-		if !connected.Load() {
+		if connection.Load() == nil {
 			s.verdict = verdict.NotRun
 		}
 		return s
 	}
 	s := sendResult{resp: resp, reply: g.Headers.Reply(resp), verdict: verdict.MayHaveRun}
-	if s.reply.HasLoad {
+	if s.reply.HasLoad && s.reply.ID == r.ID {
 		p.service.pool.Report(p.backend.Server.ID, s.reply.Running+s.reply.Waiting)
 	}
 	switch {
-	case s.reply.NotRun:
+	case s.reply.ID != r.ID:
+		// The response to this request may still follow on the connection.
+		_ = resp.Body.Close()
+		_ = (*connection.Load()).Close()
+		s.resp, s.err = nil, errWrongResponse
+	case s.reply.NotRun && resp.StatusCode >= http.StatusBadRequest:
 		s.verdict = verdict.NotRun
 		switch {
 		case resp.StatusCode == http.StatusMisdirectedRequest:
@@ -68,9 +73,6 @@
 		default:
 			p.service.pool.MarkFull(p.backend, p.backend.Server.Slots)
 		}
-	case s.reply.ID != r.ID:
-		_ = resp.Body.Close()
-		s.resp, s.err = nil, errWrongResponse
 	}
 	return s
 }
