gateway: nothing but events follows the events of a stream

What callers saw (report of other operators): a stream had begun and broke off, the next server answered with an error, and its text or head stood in the middle of the stream, or the stream ended as if it were complete.

After it broke off, the request was queued like a new one, and the queue's refusal was written into the stream, which then ended as complete. 'Not run' now counts only with an error status, and a refusal after the headers breaks the connection off. - A 200 of another type than events was relayed after the events of the first server. - A 200 without any event ended the stream as complete.

entry and agent: the entry relays numbered parts of its own and not a server's bytes, and its error is the last message of a stream; not tested anew.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -350,6 +350,7 @@
 		if err != nil {
 			panic(err)
 		}
+		w.Header().Set("Content-Type", "text/event-stream")
 		for n := after + 1; n <= last; n++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: part %d\n\n", n, n)
 			_ = http.NewResponseController(w).Flush()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
@@ -85,7 +86,7 @@
 			return
 		}
 		next, refusal := s.nextSlot(ctx, out)
-		if refusal != nil {
+		if refusal != nil && !s.headersSent {
 			g.refuse(w, r, refusal)
 			return
 		}
@@ -230,6 +231,11 @@
 	if out.resp.StatusCode != http.StatusOK {
 		return s.relayErrorResponse(out)
 	}
+	resumed := s.headersSent
+	if resumed && !isEventStream(out.resp.Header) {
+		out.err = errFailedByServer
+		return out
+	}
 	if !s.headersSent {
 		copyHeader(s.w.Header(), s.g.Headers.Answer(out.resp.Header))
 		s.w.Header().Del("Content-Length")
@@ -240,7 +246,7 @@
 	flusher := http.NewResponseController(s.w)
 	for {
 		event, id, err := reader.next()
-		if errors.Is(err, io.EOF) && !reader.rest() && (s.eventsHere > 0 || !endsWithConnection(out.resp)) {
+		if errors.Is(err, io.EOF) && !reader.rest() && (s.eventsHere > 0 || !resumed && !endsWithConnection(out.resp)) {
 			return out
 		}
 		if err != nil {
@@ -280,6 +286,13 @@
 	}
 }
 
+// isEventStream reports whether a response is a stream of events, or has no type.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && mediaType == "text/event-stream"
+}
+
 // endsWithConnection reports whether a response has neither a length nor chunks. If such
 // a response ends before its first event, its server has probably ended.
 func endsWithConnection(resp *http.Response) bool {
@@ -324,7 +337,7 @@
 // caller if another server would respond in the same way, and discarded otherwise.
 func (s *stream) relayErrorResponse(out sendResult) sendResult {
 	out.err = errFailedByServer
-	if out.reply.NotRun {
+	if out.verdict == verdict.NotRun {
 		out.err = errRefusedByServer
 	} else if !retryable(out.resp.StatusCode) && !s.headersSent {
 		// The request itself is invalid; another server would respond in the same way.
