harness: allocate ports without binding them

Cause: the harness bound and closed a port to find out whether it is free. A child process that is started meanwhile has a copy of the socket until its exec, so the port stays bound for a moment.

Ports of a claimed block are now returned without a probe; those that some process had bound when the block was claimed are left out by the kernel's table.

--- a/integration/harness/fleet.go
+++ b/integration/harness/fleet.go
@@ -146,7 +146,7 @@
 }
 
 func (f *Fleet) startPlatform() error {
-	address, err := f.ports.TCP()
+	address, err := f.ports.Next()
 	if err != nil {
 		return err
 	}
@@ -161,11 +161,11 @@
 // peerAddress returns the address to bind and, with UDPFaults, a relay in front
 // of it.
 func (f *Fleet) peerAddress() (string, *UDPRelay, error) {
-	bindAddress, err := f.ports.UDP()
+	bindAddress, err := f.ports.Next()
 	if err != nil || !f.options.UDPFaults {
 		return bindAddress, nil, err
 	}
-	relayAddress, err := f.ports.UDP()
+	relayAddress, err := f.ports.Next()
 	if err != nil {
 		return "", nil, err
 	}
@@ -178,7 +178,7 @@
 	if !f.options.TCPFaults {
 		return nil, nil
 	}
-	proxyAddress, err := f.ports.TCP()
+	proxyAddress, err := f.ports.Next()
 	if err != nil {
 		return nil, err
 	}
@@ -187,11 +187,11 @@
 
 func (f *Fleet) prepareAgent(i int, spec AgentSpec) error {
 	name := fmt.Sprintf("agent-%d", i+1)
-	backend, err := f.ports.TCP()
+	backend, err := f.ports.Next()
 	if err != nil {
 		return err
 	}
-	admin, err := f.ports.TCP()
+	admin, err := f.ports.Next()
 	if err != nil {
 		return err
 	}
@@ -245,11 +245,11 @@
 
 func (f *Fleet) prepareEntry(i int) error {
 	name := fmt.Sprintf("entry-%d", i+1)
-	caller, err := f.ports.TCP()
+	caller, err := f.ports.Next()
 	if err != nil {
 		return err
 	}
-	admin, err := f.ports.TCP()
+	admin, err := f.ports.Next()
 	if err != nil {
 		return err
 	}
--- a/integration/harness/group.go
+++ b/integration/harness/group.go
@@ -20,7 +20,7 @@
 func StartGroup(bin, dir string, ranks int, step time.Duration) (*Group, error) {
 	var ports Ports
 	defer ports.Release()
-	address, err := ports.TCP()
+	address, err := ports.Next()
 	if err != nil {
 		return nil, err
 	}
--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -207,61 +209,76 @@
 // Ports allocates free loopback ports and never returns the same one twice. It
 // claims blocks of ports and holds a listener on the first port of each block,
 // which keeps fleets of other processes out of the block.
+//
+// It does not bind the ports that it returns, not even to find out whether they are
+// free: a child process that is started at that moment has a copy of the socket until
+// its exec, and the port stays bound as long as that.
 type Ports struct {
 	claims    []net.Listener
 	next, end int
+	// bound holds the ports that were bound when the current block was claimed.
+	bound map[int]bool
 }
 
 var errNoPort = errors.New("found no free loopback port")
 
-// TCP returns a free loopback address for TCP.
-func (p *Ports) TCP() (string, error) {
-	return p.findFree(func(address string) error {
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			return err
-		}
-		return l.Close()
-	})
-}
-
-// UDP returns a free loopback address for UDP.
-func (p *Ports) UDP() (string, error) {
-	return p.findFree(func(address string) error {
-		c, err := net.ListenPacket("udp", address)
-		if err != nil {
-			return err
-		}
-		return c.Close()
-	})
-}
-
-// findFree returns the next address of the claimed blocks for which probe
-// succeeds. It claims another block when the last one is used up, and returns
-// errNoPort after 1000 tries.
-func (p *Ports) findFree(probe func(address string) error) (string, error) {
+// Next returns a loopback address that is free for TCP and UDP. It claims another
+// block when the last one is used up, and returns errNoPort after 1000 tries, or the
+// error of reading the table of bound ports.
+func (p *Ports) Next() (string, error) {
 	const tries = 1000
 	for range tries {
 		if p.next == p.end {
-			p.claim()
+			if err := p.claim(); err != nil {
+				return "", err
+			}
 			continue
 		}
-		address := loopback(p.next)
+		port := p.next
 		p.next++
-		if probe(address) == nil {
-			return address, nil
+		if !p.bound[port] {
+			return loopback(port), nil
 		}
 	}
 	return "", errNoPort
 }
 
 // claim tries to claim a random block of ports.
-func (p *Ports) claim() {
+func (p *Ports) claim() error {
 	first := firstPort + portsPerBlock*rand.N((lastPort-firstPort)/portsPerBlock)
-	if l, err := net.Listen("tcp", loopback(first)); err == nil {
-		p.claims = append(p.claims, l)
-		p.next, p.end = first+1, first+portsPerBlock
+	l, err := net.Listen("tcp", loopback(first))
+	if err != nil {
+		return nil // the block is taken; the next call tries another one
+	}
+	p.claims = append(p.claims, l)
+	p.bound, err = boundPorts()
+	p.next, p.end = first+1, first+portsPerBlock
+	return err
+}
+
+// boundPorts returns the local TCP and UDP ports that any process has bound.
+func boundPorts() (map[int]bool, error) {
+	out := map[int]bool{}
+	for _, table := range []string{"tcp", "tcp6", "udp", "udp6"} {
+		data, err := os.ReadFile("/proc/net/" + table)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // no IPv6
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			fields := strings.Fields(line)
+			if len(fields) < 2 {
+				continue
+			}
+			_, port, _ := strings.Cut(fields[1], ":")
+			if n, err := strconv.ParseUint(port, 16, 16); err == nil { // not so in the heading
+				out[int(n)] = true
+			}
+		}
 	}
+	return out, nil
 }
 
 // Release releases all claimed blocks of ports.
--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -82,7 +82,7 @@
 	seeds := []string{}
 	var control []string
 	for range gateways {
-		address := f.addressForTCPAndUDP()
+		address := f.address()
 		control = append(control, address)
 		if len(seeds) < 3 {
 			seeds = append(seeds, strconv.Quote(address))
@@ -113,24 +113,13 @@
 }
 
 func (f *fleet) address() string {
-	address, err := f.ports.TCP()
+	address, err := f.ports.Next()
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	return address
 }
 
-// addressForTCPAndUDP returns an address that is free for TCP and UDP.
-func (f *fleet) addressForTCPAndUDP() string {
-	for {
-		address := f.address()
-		if c, err := net.ListenPacket("udp", address); err == nil {
-			_ = c.Close()
-			return address
-		}
-	}
-}
-
 func (f *fleet) serve(address string, h http.Handler) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -261,7 +250,7 @@
 // freePort returns a free port. It takes ten more ports so that the port 10 above
 // it, which serves metrics, is free as well.
 func (f *fleet) freePort() int {
-	first := port(f.addressForTCPAndUDP())
+	first := port(f.address())
 	for range 10 {
 		f.address()
 	}
