peers: a restart does not prolong the hold of retries

A gateway whose predecessor nobody remembers sends no retries for a window.

Records of the predecessor are now asked for during 2 s. A gateway that has none by then announces its hold, and its successor goes on with what remains of it.

--- a/internal/peers/retryexchange.go
+++ b/internal/peers/retryexchange.go
@@ -18,6 +18,9 @@
 	maxSilence = 4 * time.Second
 	// recallTime is how long after the first record of a predecessor others are waited for.
 	recallTime = 300 * time.Millisecond
+	// recallLimit is how long records are asked for. A gateway that has none by then keeps its
+	// hold and tells it to its own successor, which would else begin a hold of its own.
+	recallLimit = 2 * time.Second
 	// keeperPeers and keeperAgents are the numbers of gateways and agents that keep the
 	// records of a gateway.
 	keeperPeers  = 2
@@ -116,8 +119,7 @@
 	if !x.recallDone && !x.recalledAt.IsZero() && x.now().Sub(x.recalledAt) >= recallTime {
 		x.restore()
 	}
-	// Without a record, the retries of any predecessor have left the window by then.
-	x.recallDone = x.recallDone || x.budgets.HeldFor() == 0
+	x.recallDone = x.recallDone || x.recalledAt.IsZero() && x.now().Sub(x.started) >= recallLimit || x.budgets.HeldFor() == 0
 	done = x.recallDone
 	x.mu.Unlock()
 	if done {
--- a/internal/peers/retryexchange_test.go
+++ b/internal/peers/retryexchange_test.go
@@ -157,6 +157,24 @@
 	is.Equal(g.spend(), 0)
 }
 
+// Guards against a hold that begins anew with every restart, so that a gateway which is often
+// restarted never sends a retry again.
+func TestRestartDoesNotProlongHold(t *testing.T) {
+	is := is.New(t)
+	f := newRetryFleet(3, 2)
+	g := f.gateways["g0:1"]
+	held := g.budgets.HeldFor()
+	g.Recall()
+	g.age = recallLimit
+	is.True(g.Recall())
+	g.Announce()
+	time.Sleep(20 * time.Millisecond)
+	g = f.start("g0")
+	is.True(g.recall())
+	is.True(g.budgets.HeldFor() < held)
+	is.Equal(g.spend(), 0)
+}
+
 // Guards against a gateway that takes the whole fixed number of retries because it has not
 // heard any other gateway, or because the others are silent for a moment.
 func TestSilentGatewaysKeepTheirPart(t *testing.T) {
