gateway: a refusal after a run is not relayed

The refusal speaks for its own server only.

The soak has a third kind of run, with restarts in series beside servers that refuse, and checks the retry budget in all of its runs.

--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -31,10 +31,17 @@
 	f := startFleet(t, options...)
 	callers := startTraffic(f, seed)
 	time.Sleep(time.Second)
+	if f.refusing {
+		time.Sleep(retryWindow) // new gateways send no retries for a window
+	}
 	x := newFaults(f, callers, seed)
 	if f.withoutProxies {
 		x.wait.Go(func() { x.sendCrashParts(seed) })
 	}
+	if f.refusing {
+		x.wait.Go(func() { x.refuseRequests(seed) })
+		x.wait.Go(func() { x.restartGateways(seed) })
+	}
 	x.run(*faultTime)
 	x.note("faults have ended")
 	time.Sleep(settleTime)
@@ -47,6 +54,7 @@
 	attempts := callers.end()
 	time.Sleep(handoverTime)
 	checkInvariants(t, callers, attempts)
+	checkRetryBudget(t, f.record, attempts)
 	checkRecovery(t, callers, attempts, from, to)
 	f.checkCrashParts(t)
 	f.checkGroup(t)
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -90,6 +90,52 @@
 	}
 }
 
+// refuseRequests makes the servers of both services refuse most requests, for some seconds
+// at a time.
+func (x *faults) refuseRequests(seed int64) {
+	random := rand.New(rand.NewPCG(uint64(seed), 55))
+	set := func(rate float64) {
+		x.fleet.group.RefusalRate.Set(rate)
+		x.changes.Lock()
+		defer x.changes.Unlock()
+		for _, s := range x.fleet.plain {
+			s.process.RefusalRate.Set(rate)
+		}
+	}
+	for end := x.began.Add(*faultTime); time.Now().Before(end); {
+		rate := 0.3 + 0.6*random.Float64()
+		x.note("servers refuse %.0f%% of the requests", 100*rate)
+		set(rate)
+		time.Sleep(time.Second + time.Duration(random.Int64N(int64(5*time.Second))))
+		set(0)
+		time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+	}
+}
+
+// restartGateways kills or stops some or all gateways together, again and again. Restarts
+// may meet processes that another fault has stopped.
+func (x *faults) restartGateways(seed int64) {
+	random := rand.New(rand.NewPCG(uint64(seed), 66))
+	for end := x.began.Add(*faultTime); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
+		kill := random.IntN(3) > 0
+		down := time.Duration(random.Int64N(int64(time.Second)))
+		for _, n := range random.Perm(gateways)[:1+random.IntN(gateways)] {
+			g := x.fleet.gateways[n]
+			x.injectFor(g.Name, fmt.Sprintf("restarted in a series, killed %v, down", kill), down, func() {
+				if kill {
+					g.Kill()
+				}
+			}, func() {
+				if !kill && g.Stop(stopBound) != nil {
+					g.Kill()
+				}
+				x.start(g.Process)
+			})
+		}
+	}
+}
+
 func (x *faults) randomDuration(least, most time.Duration) time.Duration {
 	return least + time.Duration(x.random.Int64N(int64(most-least)))
 }
--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -61,6 +61,8 @@
 	// withoutProxies publishes the engines' own addresses: a proxy accepts connections
 	// also while its engine is down.
 	withoutProxies bool
+	// refusing makes servers refuse requests while gateways are restarted in series.
+	refusing bool
 	// crashParts holds the parts of prompts that crashed servers.
 	crashParts []string
 }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -54,6 +54,12 @@
 	soakSeeds(t, failedSeedsWithParts, func(f *fleet) { f.withoutProxies = true })
 }
 
+// Guards against violated guarantees, the retry budget of the fleet above all, while servers
+// refuse requests and gateways are restarted in series, beside all other faults.
+func TestSoakWithRefusals(t *testing.T) {
+	soakSeeds(t, nil, func(f *fleet) { f.refusing = true })
+}
+
 // Guards against violated guarantees under combinations of faults that no
 // dedicated test covers.
 func TestSoak(t *testing.T) { soakSeeds(t, failedSeeds) }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -33,7 +33,8 @@
 			return
 		}
 		if ctx.Err() != nil || !g.mayRetry(r, s) {
-			if s.err == nil {
+			// A refusal of this server says nothing about the servers before it.
+			if s.err == nil && (s.verdict != verdict.NotRun || r.runs == 0) {
 				g.relayResponse(w, r, s, body)
 				return
 			}
