--- a/internal/retry/service_test.go
+++ b/internal/retry/service_test.go
@@ -18,8 +18,8 @@
 type testBudgets struct {
 	*ServiceBudgets
 	at time.Duration
-	// sent holds the times at which retries were sent, and requests those of requests.
-	sent, requests []time.Duration
+	// sent holds the times at which retries were sent.
+	sent []time.Duration
 }
 
 func newTestBudgets(at time.Duration) *testBudgets {
