peers: a rank agent that has ended is forgotten as a keeper of counts

Found on reading the change: a gateway took every agent that another gateway named as just heard and named it in its own hellos, so gateways would name an agent that has ended to each other forever, and might record their retries there alone. A gateway now names only agents that it has heard itself.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -270,7 +270,7 @@
 func (p *gatewayProcess) sendHellos() {
 	to, hello := p.members.Tick()
 	hello.Suspicions = p.suspicions.Digest()
-	hello.Agents = p.retryExchange.Agents()
+	hello.Agents = p.retryExchange.HeardAgents()
 	p.gateway.SetGateways(p.members.Count())
 	p.setFixedRetries()
 	for _, address := range to {
@@ -319,7 +319,7 @@
 	case *peers.Hello:
 		p.members.HandleHello(m)
 		p.suspicions.HandleHello(m)
-		p.retryExchange.AddAgents(m.Agents...)
+		p.retryExchange.HandleHello(m)
 	case *peers.Suspicions:
 		p.suspicions.HandleSuspicions(m)
 	case *peers.TrialRequest:
@@ -333,10 +333,10 @@
 	case *peers.RetryQuery:
 		p.retryExchange.HandleQuery(m)
 	case *peers.ControllerQuery:
-		p.retryExchange.AddAgents(m.Address)
+		p.retryExchange.HearAgent(m.Address)
 		p.send(m.Address, &peers.ControllerReply{Controller: p.members.Controller().ControlAddress, Gateways: p.otherGateways()})
 	case *peers.Report:
-		p.retryExchange.AddAgents(m.Agent)
+		p.retryExchange.HearAgent(m.Agent)
 		p.control.HandleReport(m)
 	case *peers.ExpertCounts:
 		p.control.HandleExpertCounts(m)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -57,7 +57,7 @@
 	Known []string `cbor:"2,keyasint,omitempty"`
 	// Suspicions is the digest of the sender's suspicions; 0 if it has none.
 	Suspicions uint64 `cbor:"3,keyasint,omitempty"`
-	// Agents holds the addresses of some rank agents, the same at all gateways.
+	// Agents holds the addresses of some rank agents that the sender has heard itself.
 	Agents []string `cbor:"4,keyasint,omitempty"`
 }
 
--- a/internal/peers/retryexchange.go
+++ b/internal/peers/retryexchange.go
@@ -25,7 +25,7 @@
 	// records of a gateway.
 	keeperPeers  = 2
 	keeperAgents = 2
-	// agentLifetime is how long an agent is known after it was last named.
+	// agentLifetime is how long an agent is known after it was last heard or named.
 	agentLifetime = 5 * time.Second
 	// maxAgents bounds the agents that a gateway knows, and maxAgentsPerHello those in a
 	// Hello.
@@ -50,7 +50,9 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	agents   map[string]time.Time // by address, when it was last named
+	// heardAgents holds when an agent was last heard, and namedAgents when another gateway last
+	// named it, by address.
+	heardAgents, namedAgents map[string]time.Time
 	// recalled holds the predecessor's records by service until recallDone.
 	recalled   map[string]keptRecord
 	recalledAt time.Time
@@ -67,40 +69,61 @@
 	budgets.SetOthers(func(service string) retry.Sums { return ledger.Sum(service, budgets) })
 	return &RetryExchange{
 		self: self, members: members, budgets: budgets, ledger: ledger, send: send, now: time.Now, started: time.Now(),
-		agents: map[string]time.Time{}, recalled: map[string]keptRecord{},
+		heardAgents: map[string]time.Time{}, namedAgents: map[string]time.Time{}, recalled: map[string]keptRecord{},
 	}
 }
 
-// AddAgents records the addresses of agents that were just heard of.
-func (x *RetryExchange) AddAgents(addresses ...string) {
+// HearAgent records that an agent has sent a message.
+func (x *RetryExchange) HearAgent(address string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := x.now()
-	for _, a := range addresses {
-		if _, known := x.agents[a]; known || len(x.agents) < maxAgents {
-			x.agents[a] = now
-		}
+	x.addAgent(x.heardAgents, address)
+}
+
+// HandleHello records the agents that another gateway has heard.
+func (x *RetryExchange) HandleHello(h *Hello) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, a := range h.Agents {
+		x.addAgent(x.namedAgents, a)
+	}
+}
+
+func (x *RetryExchange) addAgent(to map[string]time.Time, address string) {
+	if _, known := to[address]; known || len(to) < maxAgents {
+		to[address] = x.now()
 	}
 }
 
-// Agents returns the agents that keep the records of all gateways, and some that take their
-// place, for the next Hello.
-func (x *RetryExchange) Agents() []string { return x.chosenAgents(maxAgentsPerHello) }
+// HeardAgents returns agents for the next Hello: those that keep the records of all gateways,
+// and some that take their place. Agents that were only named are left out: gateways would
+// name one that has ended to each other forever.
+func (x *RetryExchange) HeardAgents() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return highestHashes("", x.recent(x.heardAgents), maxAgentsPerHello)
+}
 
 // chosenAgents returns up to n agents, the same at all gateways that know the same agents.
 func (x *RetryExchange) chosenAgents(n int) []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	now := x.now()
+	all := append(x.recent(x.heardAgents), x.recent(x.namedAgents)...)
+	slices.Sort(all)
+	return highestHashes("", slices.Compact(all), n)
+}
+
+// recent returns the addresses of the agents known within agentLifetime, and removes others.
+func (x *RetryExchange) recent(agents map[string]time.Time) []string {
 	var out []string
-	for a, at := range x.agents {
-		if now.Sub(at) > agentLifetime {
-			delete(x.agents, a)
+	for a, at := range agents {
+		if x.now().Sub(at) > agentLifetime {
+			delete(agents, a)
 			continue
 		}
 		out = append(out, a)
 	}
-	return highestHashes("", out, n)
+	return out
 }
 
 // highestHashes returns the n addresses with the highest hashes under a key.
--- a/internal/peers/retryexchange_test.go
+++ b/internal/peers/retryexchange_test.go
@@ -52,7 +52,7 @@
 		g.members.HandleHello(&Hello{From: Peer{Name: address, Start: fleet.StartID(1), ControlAddress: address}})
 	}
 	for a := range f.agents {
-		g.AddAgents(a)
+		g.HearAgent(a)
 	}
 	return g
 }
@@ -157,6 +157,24 @@
 	is.Equal(g.spend(), 0)
 }
 
+// Guards against records that are kept by agents which have ended: gateways that name such
+// an agent to each other would never forget it.
+func TestEndedAgentIsForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newRetryFleet(2, 0)
+	a, b := f.gateways["g0:1"], f.gateways["g1:1"]
+	a.HearAgent("agent:1")
+	for range 10 {
+		b.HandleHello(&Hello{Agents: a.HeardAgents()})
+		a.HandleHello(&Hello{Agents: b.HeardAgents()})
+		is.True(a.age > agentLifetime || len(b.chosenAgents(1)) == 1)
+		a.age += time.Second
+		b.age += time.Second
+	}
+	b.age += agentLifetime
+	is.Equal(len(a.chosenAgents(1))+len(b.chosenAgents(1)), 0)
+}
+
 // Guards against a hold that begins anew with every restart, so that a gateway which is often
 // restarted never sends a retry again.
 func TestRestartDoesNotProlongHold(t *testing.T) {
