agent: an error that the engine reports in its stream ends it as failed

What callers saw: an engine that fails in the middle of a stream and reports it in an event ("error", as several engines do, followed by [DONE]) gave a stream that ended as complete, without the rest of the text.

Cause: readCompletion read only choices and usage of an event and took [DONE] for a complete answer.

An event with an error now ends the run as failed and may_have_run, and the entry VM continues the stream at another agent, as after any other failure of a server.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -44,8 +44,13 @@
 		PromptTokens     int `json:"prompt_tokens"`
 		CompletionTokens int `json:"completion_tokens"`
 	} `json:"usage"`
+	// Error is set in an event that reports a failure. Engines send [DONE] after it.
+	Error json.RawMessage `json:"error"`
 }
 
+// maxErrorBytes limits the part of an engine's error that is passed on.
+const maxErrorBytes = 200
+
 // callEngine runs a completion on the engine and buffers its output.
 func (a *agent) callEngine(r *run) (ledger.Answer, error) {
 	request, err := a.engineRequest(r)
@@ -86,12 +91,20 @@
 }
 
 // readCompletion reads events until [DONE]. It returns errStreamTruncated if
-// the stream ends without [DONE] and without a finish reason.
+// the stream ends without [DONE] and without a finish reason, and an error if
+// the engine reports one.
 func (a *agent) readCompletion(body io.Reader, r *run) (wire.Done, error) {
 	var done wire.Done
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
+	eventType := ""
 	for lines.Scan() {
+		if lines.Text() == "" {
+			eventType = ""
+		}
+		if name, ok := strings.CutPrefix(lines.Text(), "event:"); ok {
+			eventType = strings.TrimSpace(name)
+		}
 		data, ok := strings.CutPrefix(lines.Text(), "data:")
 		if !ok {
 			continue
@@ -100,6 +113,9 @@
 		if data == "[DONE]" {
 			return done, nil
 		}
+		if eventType == "error" {
+			return done, engineError(data)
+		}
 		if err := a.readEvent(data, r, &done); err != nil {
 			return done, err
 		}
@@ -113,11 +129,20 @@
 	return done, errStreamTruncated
 }
 
+// engineError returns the error for a failure that the engine reports in its
+// event stream.
+func engineError(text string) *verdict.Error {
+	return verdict.Uncertain(verdict.ReasonServerFailed, "the engine failed: %s", text[:min(len(text), maxErrorBytes)])
+}
+
 func (a *agent) readEvent(data string, r *run, done *wire.Done) error {
 	var e completionEvent
 	if err := json.Unmarshal([]byte(data), &e); err != nil {
 		return verdict.Uncertain(verdict.ReasonServerFailed, "the engine sent a malformed event: %v", err)
 	}
+	if len(e.Error) > 0 && string(e.Error) != "null" {
+		return engineError(string(e.Error))
+	}
 	if e.Usage != nil {
 		done.PromptTokens, done.CompletionTokens = e.Usage.PromptTokens, e.Usage.CompletionTokens
 	}
--- a/internal/entry/command/completion_test.go
+++ b/internal/entry/command/completion_test.go
@@ -63,6 +63,39 @@
 	is.True(parts[0].Token != "" && parts[1].Token == "" && parts[2].Token != "") // each attempt sends its own token
 }
 
+// Guards against a stream that has begun and ends as complete, or with the error of the next
+// agent among its parts, when the next agent refuses it or fails.
+func TestErrorOfTheNextAgentEndsTheStreamAsIncomplete(t *testing.T) {
+	for name, next := range map[string][]wire.Message{
+		"refused, not run":            {&wire.Refused{Verdict: verdict.NotRun, Reason: verdict.ReasonOverloaded, Status: 503, Detail: "ERROR"}},
+		"invalid":                     {&wire.Refused{Verdict: verdict.NotRun, Reason: verdict.ReasonBadRequest, Status: 400, Detail: "ERROR"}},
+		"failed":                      {&wire.Refused{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerFailed, Status: 502, Detail: "ERROR"}},
+		"response of a plain service": {&wire.Response{Status: 500}, &wire.Chunk{Data: []byte("ERROR")}, &wire.Done{}},
+		"end without the rest":        {&wire.Done{Parts: 5, FinishReason: "stop"}, &wire.Refused{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerFailed, Status: 502}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, commands := newFleet(t)
+			script := func(s *fakeStream, m wire.Message) {
+				submit := m.(*wire.Submit)
+				if submit.Completion.Generated == "" {
+					s.reply(part(submit, 0, "a"), part(submit, 1, "b"), &wire.Refused{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonServerCrashed, Status: 502})
+					return
+				}
+				s.reply(next...)
+			}
+			a, b := f.add("agent-1", wire.Report{Model: "m"}, script), f.add("agent-2", wire.Report{Model: "m"}, script)
+			buffer, e := commands.StartCompletion(context.Background(), newCall(time.Second), prompt)
+			is.Equal(e, nil)
+			text, _, end := collect(buffer)
+			is.Equal(text, "ab")
+			is.True(end.Refusal != nil)
+			is.Equal(end.Refusal.Verdict, verdict.MayHaveRun)
+			is.Equal(len(a.submits())+len(b.submits()), 2)
+		})
+	}
+}
+
 // Guards against a request that crashes every server that it runs on, and against
 // not_run for a request whose first attempt ran.
 func TestCrashIsRetriedOnceWithTrueVerdict(t *testing.T) {
