peers: a recall waits for a keeper of the counts

Cause: all gateways receive the counts every 1.2 s, four keepers before each retry. A recall ended 0.3 s after the first record, whoever it came from. When the two gateways that kept the counts were killed as well, a third one answered with counts that were up to 1.2 s old, and the agents, which had the latest ones, were not asked: a gateway that has just started has not heard them yet.

Fix: records say whether their receiver is a keeper, the time of the recall runs from the first record of one, and a gateway passes a query on to the agents that keep records. Without an answer of a keeper the hold remains.

--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -80,9 +80,13 @@
 	Service  string   `cbor:"7,keyasint,omitempty"`
 	Requests []uint32 `cbor:"8,keyasint,omitempty"`
 	Retries  []uint32 `cbor:"9,keyasint,omitempty"`
+	// Keeper is true if the receiver is a keeper of the gateway's counts, which receives a
+	// record before each retry. Others receive older counts.
+	Keeper bool `cbor:"10,keyasint,omitempty"`
 }
 
-// RetryQuery asks for the RetryRecords of a gateway.
+// RetryQuery asks for the RetryRecords of a gateway. A gateway passes it on to the agents
+// that keep records, which the sender may not know yet.
 type RetryQuery struct {
 	// Owner is the control address of that gateway, and From that of the sender.
 	Owner string `cbor:"1,keyasint"`
--- a/internal/peers/retryexchange.go
+++ b/internal/peers/retryexchange.go
@@ -16,7 +16,7 @@
 	// heard last. A predecessor that was cut off for longer may have sent retries that
 	// nobody knows.
 	maxSilence = 4 * time.Second
-	// recallTime is how long after the first record of a predecessor others are waited for.
+	// recallTime is how long after the first record from a keeper others are waited for.
 	recallTime = 300 * time.Millisecond
 	// recallLimit is how long records are asked for. A gateway that has none by then keeps its
 	// hold and tells it to its own successor, which would else begin a hold of its own.
@@ -38,7 +38,7 @@
 //
 // The record of a retry is sent before the retry, to two gateways and two rank agents: all
 // gateways may be killed together. A gateway whose predecessor nobody remembers, or that
-// reaches nobody, sends no retries for one window.
+// reaches nobody that kept its counts, sends no retries for one window.
 type RetryExchange struct {
 	self    func() Peer
 	members *Members
@@ -53,7 +53,8 @@
 	// heardAgents holds when an agent was last heard, and namedAgents when another gateway last
 	// named it, by address.
 	heardAgents, namedAgents map[string]time.Time
-	// recalled holds the predecessor's records by service until recallDone.
+	// recalled holds the predecessor's records by service until recallDone. recalledAt is
+	// when the first one from a keeper arrived.
 	recalled   map[string]keptRecord
 	recalledAt time.Time
 	recallDone bool
@@ -181,13 +182,13 @@
 	if x.recallDone || m.Start == self.Start || silent > maxSilence {
 		return
 	}
+	if m.Keeper && x.recalledAt.IsZero() {
+		x.recalledAt = now
+	}
 	if old, known := x.recalled[m.Service]; known && !m.newer(&old.RetryRecord) {
 		return
 	}
 	x.recalled[m.Service] = keptRecord{RetryRecord: *m, at: now}
-	if x.recalledAt.IsZero() {
-		x.recalledAt = now
-	}
 }
 
 // newer reports whether m was made after other. Starts are compared by the ages, because the
@@ -199,30 +200,34 @@
 	return m.Sequence > other.Sequence
 }
 
-// HandleQuery sends the records that another gateway asks for.
+// HandleQuery sends the records that another gateway asks for, and passes the query on to
+// the agents that keep records: a gateway that has just started does not know them.
 func (x *RetryExchange) HandleQuery(q *RetryQuery) {
 	for _, m := range x.ledger.Answer(q) {
 		x.send(q.From, m)
 	}
+	for _, address := range x.chosenAgents(maxAgentsPerHello) {
+		x.send(address, q)
+	}
 }
 
 // Announce sends this gateway's counts to their keepers, with an empty record, which shows
 // that there are no others. Counts with retries are sent to all gateways, which take them
 // into account. It does nothing before Recall is done.
 func (x *RetryExchange) Announce() {
-	others, keepers := x.others(), x.keepers()
+	keepers := x.keepers()
+	others := slices.DeleteFunc(x.others(), func(address string) bool { return slices.Contains(keepers, address) })
 	for _, h := range append(x.budgets.History(), retry.History{}) {
-		to := keepers
+		x.announce(h.Service, keepers, true)
 		if slices.Max(append(h.Retries, 0)) > 0 {
-			to = append(x.chosenAgents(keeperAgents), others...)
+			x.announce(h.Service, others, false)
 		}
-		x.announce(h.Service, to)
 	}
 }
 
 // AnnounceService sends the counts of one service to their keepers, before a retry is sent
 // there.
-func (x *RetryExchange) AnnounceService(service string) { x.announce(service, x.keepers()) }
+func (x *RetryExchange) AnnounceService(service string) { x.announce(service, x.keepers(), true) }
 
 // keepers returns the processes that keep this gateway's counts.
 func (x *RetryExchange) keepers() []string {
@@ -241,10 +246,10 @@
 	return out
 }
 
-func (x *RetryExchange) announce(service string, to []string) {
+func (x *RetryExchange) announce(service string, to []string, keepers bool) {
 	self := x.self()
 	gateways, _ := x.Sharers()
-	m := &RetryRecord{Owner: self.ControlAddress, Start: self.Start, Gateways: gateways, Service: service}
+	m := &RetryRecord{Owner: self.ControlAddress, Start: self.Start, Gateways: gateways, Service: service, Keeper: keepers}
 	x.mu.Lock()
 	done := x.recallDone
 	x.sequence++
--- a/internal/peers/retryexchange_test.go
+++ b/internal/peers/retryexchange_test.go
@@ -19,6 +19,8 @@
 	starts   int
 	// cut holds the gateways that reach nobody.
 	cut map[string]bool
+	// unheardAgents is true if new gateways have not heard the agents.
+	unheardAgents bool
 }
 
 type retryGateway struct {
@@ -52,7 +54,9 @@
 		g.members.HandleHello(&Hello{From: Peer{Name: address, Start: fleet.StartID(1), ControlAddress: address}})
 	}
 	for a := range f.agents {
-		g.HearAgent(a)
+		if !f.unheardAgents {
+			g.HearAgent(a)
+		}
 	}
 	return g
 }
@@ -74,7 +78,7 @@
 			g.HandleQuery(m)
 		} else if a != nil {
 			for _, record := range a.Answer(m) {
-				f.deliver(to, from, record)
+				f.deliver(to, m.From, record)
 			}
 		}
 	}
@@ -135,6 +139,41 @@
 	}
 }
 
+// Guards against a recall that ends with the older record of a gateway that does not keep
+// the counts: those that do were killed as well, and the new start has not heard the agents.
+func TestRecallWaitsForAKeeperOfTheCounts(t *testing.T) {
+	for name, agentsLeft := range map[string]bool{"agents live on": true, "agents have ended": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRetryFleet(6, 2)
+			f.begin()
+			old := f.gateways["g0:1"]
+			old.budgets.Request("s")
+			old.budgets.SetFixed(30, 10)
+			is.True(old.budgets.Reserve("s"))
+			old.budgets.Sent("s")
+			old.Announce() // all gateways know of one retry
+			spent := 1 + old.spend()
+			for _, address := range append(old.keepers(), "g0:1") {
+				delete(f.gateways, address)
+				if !agentsLeft {
+					delete(f.agents, address)
+				}
+			}
+			f.unheardAgents = true
+			g := f.start("g0")
+			is.Equal(g.recall(), agentsLeft)
+			if agentsLeft {
+				is.Equal(g.budgets.Usage("s").Own.Retries, float64(spent))
+				return
+			}
+			g.age += recallLimit
+			is.True(g.Recall())
+			is.Equal(g.spend(), 0) // nobody knows what was sent
+		})
+	}
+}
+
 // Guards against retries of a gateway that can't know what was sent before it: nobody
 // remembers its predecessor, or it was cut off when the predecessor was last heard.
 func TestGatewayWithoutRecordHoldsItsRetries(t *testing.T) {
