retry: keep the limit in each window that has begun, also while the load changes

Cause: a retry was allowed if the window that ended with it kept the limit.

Fix: a retry is allowed if each window that has begun and contains it keeps the limit, with the requests so far or of an earlier window, for the gateway's part and for the sum over all gateways.

The soak beside refusing servers adds and removes callers.

--- a/integration/soak/callers_test.go
+++ b/integration/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/platform/platformtest"
@@ -34,8 +35,12 @@
 // traffic runs the callers of a soak run and records their attempts.
 type traffic struct {
 	fleet *fleet
+	ctx   context.Context
 	stop  context.CancelFunc
+	seed  int64
 	wait  sync.WaitGroup
+	// started counts the callers.
+	started atomic.Int64
 
 	mu       sync.Mutex
 	attempts []attempt
@@ -67,13 +72,19 @@
 
 func startTraffic(f *fleet, seed int64) *traffic {
 	ctx, stop := context.WithCancel(context.Background())
-	t := &traffic{fleet: f, stop: stop, removed: map[string]removal{}, withParts: f.withoutProxies}
-	for n := range callers {
-		c := &caller{traffic: t, random: rand.New(rand.NewPCG(uint64(seed), uint64(n))), name: fmt.Sprintf("%d-%d", seed, n)}
+	t := &traffic{fleet: f, ctx: ctx, stop: stop, seed: seed, removed: map[string]removal{}, withParts: f.withoutProxies}
+	t.addCallers(callers, time.Time{})
+	return t
+}
+
+// addCallers starts n more callers. They begin no request after until, unless it is zero.
+func (t *traffic) addCallers(n int, until time.Time) {
+	for range n {
+		number := t.started.Add(1)
+		c := &caller{traffic: t, random: rand.New(rand.NewPCG(uint64(t.seed), uint64(number))), name: fmt.Sprintf("%d-%d", t.seed, number), until: until}
 		c.renewClient()
-		t.wait.Go(func() { c.run(ctx) })
+		t.wait.Go(func() { c.run(t.ctx) })
 	}
-	return t
 }
 
 // end stops the callers and returns all attempts.
@@ -123,6 +134,7 @@
 	addresses []string
 	resolveAt time.Time
 	failed    map[string]bool
+	until     time.Time
 }
 
 func (c *caller) renewClient() {
@@ -131,7 +143,7 @@
 
 func (c *caller) run(ctx context.Context) {
 	defer func() { c.client.CloseIdleConnections() }()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && (c.until.IsZero() || time.Now().Before(c.until)) {
 		c.pause(ctx, time.Duration(c.random.ExpFloat64()*float64(thinkTime)))
 		if time.Now().After(c.resolveAt) {
 			c.resolve(ctx)
--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -41,6 +41,7 @@
 	if f.refusing {
 		x.wait.Go(func() { x.refuseRequests(seed) })
 		x.wait.Go(func() { x.restartGateways(seed) })
+		x.wait.Go(func() { x.addLoad(seed) })
 	}
 	x.run(*faultTime)
 	x.note("faults have ended")
@@ -54,7 +55,7 @@
 	attempts := callers.end()
 	time.Sleep(handoverTime)
 	checkInvariants(t, callers, attempts)
-	checkRetryBudget(t, f.record, attempts)
+	checkRetryBudget(t, f.record, attempts, 1)
 	checkRecovery(t, callers, attempts, from, to)
 	f.checkCrashParts(t)
 	f.checkGroup(t)
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// addLoad adds callers for some seconds at a time: the load rises and falls while servers
+// refuse requests.
+func (x *faults) addLoad(seed int64) {
+	random := rand.New(rand.NewPCG(uint64(seed), 44))
+	for end := x.began.Add(*faultTime); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.Int64N(int64(4 * time.Second))))
+		n, length := random.IntN(2*callers), time.Second+time.Duration(random.Int64N(int64(8*time.Second)))
+		x.note("%d more callers for %s", n, length.Round(time.Millisecond))
+		x.traffic.addCallers(n, time.Now().Add(length))
+	}
+}
+
 // restartGateways kills or stops some or all gateways together, again and again. Restarts
 // may meet processes that another fault has stopped.
 func (x *faults) restartGateways(seed int64) {
--- a/integration/soak/retrybudget_test.go
+++ b/integration/soak/retrybudget_test.go
@@ -13,11 +13,14 @@
 	retryWindow = 10 * time.Second
 	retryRatio  = 0.2
 	retrySlack  = 30
+	// retryTarget is the part of the budget that gateways use at most, whatever happens at the
+	// same time.
+	retryTarget = 0.9
 )
 
-// checkRetryBudget checks the repeated requests that reached the servers in any window, over
-// all processes.
-func checkRetryBudget(t *testing.T, record *platformtest.RunLog, attempts []attempt) {
+// checkRetryBudget checks that the repeated requests that reached the servers in any window,
+// over all processes, are at most target of what is allowed.
+func checkRetryBudget(t *testing.T, record *platformtest.RunLog, attempts []attempt, target float64) {
 	requests := map[string][]time.Time{}
 	for _, a := range attempts {
 		service := plainName
@@ -47,8 +50,8 @@
 			}
 		}
 		t.Logf("%s: at most %d repeats in %s, %.2f of what is allowed; %d in all", service, most, retryWindow, largestShare, len(times))
-		if largestShare > 1 {
-			t.Errorf("BUDGET: %s got %d repeats in %s, %.2f times what is allowed", service, most, retryWindow, largestShare)
+		if largestShare > target {
+			t.Errorf("BUDGET: %s got %d repeats in %s, %.3f times what is allowed, the target is %.1f", service, most, retryWindow, largestShare, target)
 		}
 	}
 }
@@ -64,9 +67,9 @@
 	return n
 }
 
-// Guards against a retry budget that restarts renew: while backend servers refuse requests,
-// gateways that are killed or stopped and started again together send no more retries than
-// gateways that go on.
+// Guards against a retry budget that restarts renew or a rising load exceeds: while backend
+// servers refuse requests, gateways that are killed or stopped and started again together
+// send no more retries than gateways that go on.
 func TestRestartsKeepRetryBudget(t *testing.T) {
 	if *binaries == "" {
 		t.Skip("-bin is not given")
@@ -82,6 +85,7 @@
 		}
 	}
 	for name, restart := range map[string]func(*fleet){
+		"no restart":  func(*fleet) {},
 		"half killed": func(f *fleet) { kill(f.gateways[:gateways/2]...) },
 		"all killed":  func(f *fleet) { kill(f.gateways...) },
 		"all killed twice": func(f *fleet) {
@@ -103,14 +107,17 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t)
-			callers := startTraffic(f, 1)
-			time.Sleep(retryWindow + time.Second) // a whole window of requests, which pay for retries
+			traffic := startTraffic(f, 1)
+			time.Sleep(retryWindow - time.Second) // with the next sleep, a whole window of requests, which pay for retries
+			// No window that contains all retries has all requests of the rising load.
+			traffic.addCallers(6*callers, time.Now().Add(retryWindow))
+			time.Sleep(2 * time.Second)
 			f.group.RefusalRate.Set(0.7)
 			time.Sleep(2500 * time.Millisecond)
 			restart(f)
 			time.Sleep(retryWindow - 3*time.Second)
-			attempts := callers.end()
-			checkRetryBudget(t, f.record, attempts)
+			attempts := traffic.end()
+			checkRetryBudget(t, f.record, attempts, retryTarget)
 			report(t, f, attempts)
 			if t.Failed() {
 				for _, g := range f.gateways {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -52,8 +52,8 @@
 	// retryShare is the fraction of the fleet's retry budget that gateways use. The rest is
 	// for counts that cannot be exact, such as the time between a send and its arrival.
 	retryShare = 0.9
-	// hellosPerAnnouncement is the number of hellos for each announcement of the counts of
-	// requests and retries.
+	// hellosPerAnnouncement is the number of hellos for each announcement of all counts of
+	// requests and retries. New retries are announced with each hello.
 	hellosPerAnnouncement = 3
 	// firstRecallWait and maxRecallWait bound the time between two queries for the
 	// predecessor's retries.
@@ -245,6 +245,7 @@
 		if n%hellosPerAnnouncement == 0 {
 			p.retryExchange.Announce()
 		}
+		p.retryExchange.AnnounceRetries()
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/peers/retryexchange.go
+++ b/internal/peers/retryexchange.go
@@ -58,6 +58,8 @@
 	recalled   map[string]keptRecord
 	recalledAt time.Time
 	recallDone bool
+	// retried holds the services that got retries since AnnounceRetries.
+	retried map[string]bool
 	// formerGateways is the number of gateways that the predecessor knew.
 	formerGateways int
 }
@@ -67,10 +69,10 @@
 func NewRetryExchange(self func() Peer, members *Members, budgets *retry.ServiceBudgets, send func(address string, m Message)) *RetryExchange {
 	ledger := NewRetryLedger()
 	budgets.Hold()
-	budgets.SetOthers(func(service string) retry.Sums { return ledger.Sum(service, budgets) })
+	budgets.SetOthers(func(service string, to *retry.Counts) { ledger.Add(to, service, budgets) })
 	return &RetryExchange{
 		self: self, members: members, budgets: budgets, ledger: ledger, send: send, now: time.Now, started: time.Now(),
-		heardAgents: map[string]time.Time{}, namedAgents: map[string]time.Time{}, recalled: map[string]keptRecord{},
+		heardAgents: map[string]time.Time{}, namedAgents: map[string]time.Time{}, recalled: map[string]keptRecord{}, retried: map[string]bool{},
 	}
 }
 
@@ -215,19 +217,40 @@
 // that there are no others. Counts with retries are sent to all gateways, which take them
 // into account. It does nothing before Recall is done.
 func (x *RetryExchange) Announce() {
-	keepers := x.keepers()
-	others := slices.DeleteFunc(x.others(), func(address string) bool { return slices.Contains(keepers, address) })
 	for _, h := range append(x.budgets.History(), retry.History{}) {
-		x.announce(h.Service, keepers, true)
+		x.announce(h.Service, x.keepers(), true)
 		if slices.Max(append(h.Retries, 0)) > 0 {
-			x.announce(h.Service, others, false)
+			x.announceToOthers(h.Service)
 		}
 	}
 }
 
+// AnnounceRetries sends the counts of the services that got retries since the last call to
+// all gateways. The keepers have them.
+func (x *RetryExchange) AnnounceRetries() {
+	x.mu.Lock()
+	retried := x.retried
+	x.retried = map[string]bool{}
+	x.mu.Unlock()
+	for service := range retried {
+		x.announceToOthers(service)
+	}
+}
+
 // AnnounceService sends the counts of one service to their keepers, before a retry is sent
 // there.
-func (x *RetryExchange) AnnounceService(service string) { x.announce(service, x.keepers(), true) }
+func (x *RetryExchange) AnnounceService(service string) {
+	x.announce(service, x.keepers(), true)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.retried[service] = true
+}
+
+// announceToOthers sends the counts of one service to the gateways that do not keep them.
+func (x *RetryExchange) announceToOthers(service string) {
+	keepers := x.keepers()
+	x.announce(service, slices.DeleteFunc(x.others(), func(address string) bool { return slices.Contains(keepers, address) }), false)
+}
 
 // keepers returns the processes that keep this gateway's counts.
 func (x *RetryExchange) keepers() []string {
--- a/internal/peers/retryledger.go
+++ b/internal/peers/retryledger.go
@@ -88,19 +88,16 @@
 	return out
 }
 
-// Sum returns what the gateways have counted for a service in the window of budgets.
-func (l *RetryLedger) Sum(service string, budgets *retry.ServiceBudgets) retry.Sums {
+// Add adds what the gateways have counted for a service of budgets.
+func (l *RetryLedger) Add(to *retry.Counts, service string, budgets *retry.ServiceBudgets) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	var all retry.Sums
 	for _, o := range l.owners {
 		if k, ok := o.services[service]; ok {
-			s := budgets.Sum(k.history(), k.age(now))
-			all.Requests, all.Retries = all.Requests+s.Requests, all.Retries+s.Retries
+			budgets.Add(to, k.history(), k.age(now))
 		}
 	}
-	return all
 }
 
 func (k *keptRecord) history() retry.History {
--- a/internal/retry/service.go
+++ b/internal/retry/service.go
@@ -8,17 +8,20 @@
 
 const (
 	// windowSlices is the number of slices into which the window of a ServiceBudgets is
-	// divided.
+	// divided; it is even.
 	windowSlices = 50
-	// HistorySlices is the number of slices that are kept, the current one included. Retries
-	// count for one slice longer than the window, which covers the time that they take to
-	// reach a server.
-	HistorySlices = windowSlices + 2
+	// RetrySlices is the number of slices for which retries count, the current one included:
+	// one longer than the window, which covers the time that they take to reach a server.
+	RetrySlices = windowSlices + 2
+	// HistorySlices is the number of slices that are kept: requests of the window before one
+	// that has retries may pay for them.
+	HistorySlices = RetrySlices + windowSlices
 )
 
-// ServiceBudgets limits the retries at each service, over a sliding time window, to a ratio
-// of the requests for the service plus a fixed number. A retry is reserved when it is decided
-// and counts in the window from when it is sent. It is safe for concurrent use.
+// ServiceBudgets limits the retries at each service, in any time window, to a ratio of the
+// requests for the service plus a fixed number. The requests are those in the window, in the
+// one before it or in the one half a window before it, whichever has most. A retry is
+// reserved when it is decided and counts from when it is sent. It is safe for concurrent use.
 //
 // Load pattern: backend servers refuse requests while processes restart. The retries of a
 // window are paid by requests that arrived before it, so a process that starts with an empty
@@ -34,8 +37,8 @@
 	mu sync.Mutex
 	// fixed is this process's part of fleetFixed, the fixed number of retries of all.
 	fixed, fleetFixed float64
-	// others returns what other processes have counted in the window, as far as is known.
-	others func(service string) Sums
+	// others adds what other processes have counted, as far as is known.
+	others func(service string, to *Counts)
 	// heldUntil is the time until which no retry is allowed.
 	heldUntil time.Duration
 	services  map[string]*history
@@ -58,7 +61,7 @@
 	began := time.Now().Add(-HistorySlices * slice)
 	return &ServiceBudgets{
 		ratio: ratio, slice: slice, elapsed: func() time.Duration { return time.Since(began) }, services: map[string]*history{},
-		others: func(string) Sums { return Sums{} },
+		others: func(string, *Counts) {},
 	}
 }
 
@@ -70,11 +73,10 @@
 	b.fixed, b.fleetFixed = part, fleet
 }
 
-// SetOthers sets a function that returns what the other processes have counted in the
-// window, see Sum. It can only reduce the retries of this process. Load pattern: callers
-// move from gateways that stop to others. Both would send the retries that the same
-// callers' requests pay for.
-func (b *ServiceBudgets) SetOthers(others func(service string) Sums) {
+// SetOthers sets a function that adds what the other processes have counted, see Add. It can
+// only reduce the retries of this process. Load pattern: callers move from gateways that
+// stop to others. Both would send the retries that the same callers' requests pay for.
+func (b *ServiceBudgets) SetOthers(others func(service string, to *Counts)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.others = others
@@ -82,7 +84,7 @@
 
 // Hold allows no retries until those of any predecessor have left the window, or HoldFor is
 // called.
-func (b *ServiceBudgets) Hold() { b.HoldFor(HistorySlices * b.slice) }
+func (b *ServiceBudgets) Hold() { b.HoldFor(RetrySlices * b.slice) }
 
 // HeldFor returns for how long no retries are allowed because of Hold; 0 if they are.
 func (b *ServiceBudgets) HeldFor() time.Duration {
@@ -105,9 +107,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.history(service)
-	own, all := b.sums(h), b.others(service)
-	all.Requests, all.Retries = all.Requests+own.Requests, all.Retries+own.Retries
-	if b.elapsed() < b.heldUntil || own.Retries+1 > b.ratio*own.Requests+b.fixed || all.Retries+1 > b.ratio*all.Requests+b.fleetFixed {
+	own := h.counts()
+	if b.elapsed() < b.heldUntil || !own.allowsRetry(b.ratio, b.fixed) {
+		return false
+	}
+	b.others(service, &own)
+	if !own.allowsRetry(b.ratio, b.fleetFixed) {
 		return false
 	}
 	h.reserved++
@@ -130,8 +135,56 @@
 	b.history(service).reserved--
 }
 
-// Sums are the requests and retries of a service in the window. Reserved retries count as
-// retries.
+// Counts are the requests and retries of one service by slice, the newest first. Reserved
+// retries count in the current slice.
+type Counts struct {
+	requests [HistorySlices]float64
+	retries  [RetrySlices]float64
+}
+
+// allowsRetry reports whether one more retry keeps the limit in each window that has
+// begun. Load pattern: the load rises or falls within a window. A window that begins with
+// the first retry may have fewer requests than the one that ends with the last.
+func (c *Counts) allowsRetry(ratio, fixed float64) bool {
+	// before[n] is the number of requests in the n newest slices.
+	var before [HistorySlices + 1]float64
+	for age, n := range c.requests {
+		before[age+1] = before[age] + n
+	}
+	// between counts the requests in a window that begins in the slice from or earlier by
+	// shift, up to now. Slices that the window has only a part of do not count.
+	between := func(from, shift int) float64 {
+		newest := 0
+		if shift > 0 {
+			newest = max(from+shift+1-windowSlices, 0)
+		}
+		return before[from+shift] - before[newest]
+	}
+	retries := 1.0
+	for from, n := range c.retries {
+		retries += n
+		requests := max(between(from, 0), between(from, windowSlices/2), between(from, windowSlices))
+		if retries > ratio*requests+fixed {
+			return false
+		}
+	}
+	return true
+}
+
+// sums returns the requests of the last window and the retries that count in it.
+func (c *Counts) sums() Sums {
+	var s Sums
+	for _, n := range c.requests[:windowSlices] {
+		s.Requests += n
+	}
+	for _, n := range c.retries {
+		s.Retries += n
+	}
+	return s
+}
+
+// Sums are the requests and retries of a service in the last window. Reserved retries count
+// as retries.
 type Sums struct{ Requests, Retries float64 }
 
 // Usage is the state of the budget of a service: what this process and what the others have
@@ -145,33 +198,22 @@
 func (b *ServiceBudgets) Usage(service string) Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Usage{Own: b.sums(b.history(service)), Others: b.others(service), Fixed: b.fixed}
-}
-
-func (b *ServiceBudgets) sums(h *history) Sums {
-	s := Sums{Retries: float64(h.reserved)}
-	for age := range HistorySlices {
-		if age < windowSlices {
-			s.Requests += float64(h.requests[h.index(age)])
-		}
-		s.Retries += float64(h.retries[h.index(age)])
-	}
-	return s
+	own, others := b.history(service).counts(), Counts{}
+	b.others(service, &others)
+	return Usage{Own: own.sums(), Others: others.sums(), Fixed: b.fixed}
 }
 
-// Sum returns the sums of counts that another process with the same window recorded age ago.
-func (b *ServiceBudgets) Sum(x History, age time.Duration) Sums {
+// Add adds counts that another process with the same window recorded age ago.
+func (b *ServiceBudgets) Add(to *Counts, x History, age time.Duration) {
 	// Counts may fall between two slices. Retries must not leave the window early, nor
 	// requests late.
 	shift := int(max(age, 0) / b.slice)
-	var s Sums
-	for i := 0; i < len(x.Requests) && i+shift+1 < windowSlices; i++ {
-		s.Requests += float64(x.Requests[i])
+	for i := 0; i < len(x.Requests) && i+shift+1 < HistorySlices; i++ {
+		to.requests[i+shift+1] += float64(x.Requests[i])
 	}
-	for i := 0; i < len(x.Retries) && i+shift < HistorySlices; i++ {
-		s.Retries += float64(x.Retries[i])
+	for i := 0; i < len(x.Retries) && i+shift < RetrySlices; i++ {
+		to.retries[i+shift] += float64(x.Retries[i])
 	}
-	return s
 }
 
 // History is the count of requests and retries of one service by slice, the newest first.
@@ -202,9 +244,12 @@
 
 func (b *ServiceBudgets) copy(service string) History {
 	h := b.history(service)
-	x := History{Service: service, Requests: make([]uint32, HistorySlices), Retries: make([]uint32, HistorySlices)}
-	for age := range HistorySlices {
-		x.Requests[age], x.Retries[age] = h.requests[h.index(age)], h.retries[h.index(age)]
+	x := History{Service: service, Requests: make([]uint32, HistorySlices), Retries: make([]uint32, RetrySlices)}
+	for age := range x.Requests {
+		x.Requests[age] = h.requests[h.index(age)]
+	}
+	for age := range x.Retries {
+		x.Retries[age] = h.retries[h.index(age)]
 	}
 	return x
 }
@@ -213,7 +258,7 @@
 func (b *ServiceBudgets) Restore(x History, age time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	shift := int(max(age, 0) / b.slice) // as in Sum
+	shift := int(max(age, 0) / b.slice) // as in Add
 	h := b.history(x.Service)
 	h.add(&h.requests, x.Requests, shift+1)
 	h.add(&h.retries, x.Retries, shift)
@@ -249,5 +294,18 @@
 	return h
 }
 
+// counts returns the counts by age.
+func (h *history) counts() Counts {
+	var c Counts
+	for age := range c.requests {
+		c.requests[age] = float64(h.requests[h.index(age)])
+	}
+	for age := range c.retries {
+		c.retries[age] = float64(h.retries[h.index(age)])
+	}
+	c.retries[0] += float64(h.reserved)
+	return c
+}
+
 // index returns the position of the slice that is age slices old.
 func (h *history) index(age int) int { return int((h.newest - int64(age)) % HistorySlices) }
--- a/internal/retry/service_test.go
+++ b/internal/retry/service_test.go
@@ -1,7 +1,9 @@
 package retry
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -71,6 +73,135 @@
 	is.True(!b.Reserve("s"))
 }
 
+// checkRule checks each window that begins with a retry: the requests that pay for its retries
+// are those in the window, in the one before it or in the one half a window before it,
+// whichever has most.
+func checkRule(t *testing.T, name string, sent, requests []time.Duration, ratio, fixed float64) {
+	t.Helper()
+	count := func(times []time.Duration, from time.Duration) float64 {
+		first, _ := slices.BinarySearch(times, from)
+		end, _ := slices.BinarySearch(times, from+testWindow)
+		return float64(end - first)
+	}
+	slices.Sort(sent)
+	for _, from := range sent {
+		paid := max(count(requests, from), count(requests, from-testWindow/2), count(requests, from-testWindow))
+		if n := count(sent, from); n > ratio*paid+fixed {
+			t.Fatalf("%s: %.0f retries in the window from %s, allowed %.1f for %.0f requests", name, n, from, ratio*paid+fixed, paid)
+		}
+	}
+}
+
+// share is the part of what the rule allows that gateways use. The rest is for counts that
+// cannot be exact: restarts and messages move them by up to a slice, and the counts of
+// other processes are some time old.
+const share = 0.9
+
+// Guards against retries that are paid by requests of no single window of the rule, when the
+// load changes within a window while backend servers refuse requests, and the process is
+// replaced meanwhile.
+func TestChangingLoadKeepsEveryWindow(t *testing.T) {
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		restarts := seed%2 == 1
+		start := func(at time.Duration) *testBudgets {
+			b := newTestBudgets(at)
+			if restarts {
+				b.ratio = testRatio * share
+				b.SetFixed(testFixed*share, testFixed*share)
+			}
+			return b
+		}
+		b := start(time.Minute)
+		var requests []time.Duration
+		rate, refused := 0.1, false
+		for range 8000 { // 80 s
+			b.at += 10 * time.Millisecond
+			if random.IntN(400) == 0 {
+				rate = 2 * random.Float64() * random.Float64() // up to 200 a second
+			}
+			if random.IntN(300) == 0 {
+				refused = !refused
+			}
+			if restarts && random.IntN(500) == 0 {
+				history, sent, killedAt := b.History(), b.sent, b.at
+				b = start(killedAt + time.Duration(random.IntN(500))*time.Millisecond)
+				b.sent = sent
+				for _, h := range history {
+					b.Restore(h, b.at-killedAt)
+				}
+			}
+			for n := rate + random.Float64() - 0.5; n > 0; n-- {
+				b.Request("s")
+				requests = append(requests, b.at)
+				if refused {
+					b.retry()
+					b.retry()
+				}
+			}
+		}
+		checkRule(t, fmt.Sprintf("seed %d", seed), b.sent, requests, testRatio, testFixed)
+	}
+}
+
+// Guards against more retries than the rule allows all processes together, when the load
+// changes and moves between them and each knows the counts of the others of up to 0.4 s ago.
+func TestMovingLoadKeepsEveryWindowOfAll(t *testing.T) {
+	const processes, fixed = 6, 90
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		var all [processes]*testBudgets
+		known := [processes][]History{}
+		var toldAt time.Duration
+		for n := range all {
+			b := newTestBudgets(time.Minute)
+			b.ratio = testRatio * share
+			b.SetFixed(fixed*share, fixed*share/processes)
+			b.SetOthers(func(service string, c *Counts) {
+				for other, histories := range known {
+					if other != n && len(histories) > 0 {
+						b.Add(c, histories[0], b.at-toldAt)
+					}
+				}
+			})
+			all[n] = b
+		}
+		var requests, sent []time.Duration
+		rate, refused, from, to := 0.3, false, 0, processes
+		for step := range 6000 { // 60 s
+			if random.IntN(400) == 0 {
+				rate = 2 * random.Float64()
+			}
+			if random.IntN(300) == 0 {
+				refused = !refused
+			}
+			if random.IntN(300) == 0 { // callers move to other processes
+				from = random.IntN(processes)
+				to = from + 1 + random.IntN(processes-from)
+			}
+			for n, b := range all {
+				b.at += 10 * time.Millisecond
+				if step%40 == 0 {
+					known[n], toldAt = b.History(), b.at
+				}
+			}
+			for n := rate + random.Float64() - 0.5; n > 0; n-- {
+				b := all[from+random.IntN(to-from)]
+				b.Request("s")
+				requests = append(requests, b.at)
+				if refused {
+					b.retry()
+					b.retry()
+				}
+			}
+		}
+		for _, b := range all {
+			sent = append(sent, b.sent...)
+		}
+		checkRule(t, fmt.Sprintf("seed %d", seed), sent, requests, testRatio, fixed)
+	}
+}
+
 // Guards against retries that are decided in one window and sent in the next, beside those
 // of the next: a retry may wait for seconds.
 func TestReservedRetryCountsWhenSent(t *testing.T) {
@@ -139,13 +270,11 @@
 func TestMovedCallersPayOnce(t *testing.T) {
 	is := is.New(t)
 	a, b := newTestBudgets(time.Minute), newTestBudgets(time.Minute)
-	total := func(of *testBudgets, at *testBudgets) func(string) Sums {
-		return func(string) Sums {
-			var s Sums
+	total := func(of *testBudgets, at *testBudgets) func(string, *Counts) {
+		return func(_ string, c *Counts) {
 			for _, h := range of.History() {
-				s = at.Sum(h, 0)
+				at.Add(c, h, 0)
 			}
-			return s
 		}
 	}
 	b.SetOthers(total(a, b))
