agent: a request still queued at its deadline did not run

What a caller could get: may_have_run (502) for a filing that had never begun, so that it could not file again without a check, where not_run (504) is true.

Cause: at its deadline the queue refuses a request, and 100 ms later the stream that waits for it says that the answer is unknown. Both are timers of one process. If it gets no processor time for 100 ms, the second may come first. The stream knows whether the run has begun and did not look.

Found while TestOnceFrozenEntryDeliversLate was traced; it is not what failed there. Evidence: TestRequestQueuedAtItsDeadlineDidNotRun, where the queue does nothing, got may_have_run before. Fix: a stream that reaches the deadline of its run refuses the run if it has not begun. A stream with an earlier deadline of its own does not, because another caller may wait for the run.

--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -130,12 +130,24 @@
 	case <-s.stream.Context().Done():
 		return lost
 	case <-s.deadline:
-		_ = s.stream.Send(wire.RefusedFrom(verdict.Uncertain(verdict.ReasonDeadline, "the deadline passed before the answer was known")))
+		s.sendDeadlinePassed()
 		return answered
 	}
 	return following
 }
 
+// sendDeadlinePassed ends the stream at its deadline. A run that has reached its own
+// deadline and has not begun is refused, because the queue may be late. Other callers may
+// still wait for a run with a later deadline.
+func (s *sender) sendDeadlinePassed() {
+	if s.run != nil && !time.Now().Before(s.run.deadline) &&
+		s.run.refuse(verdict.Refuse(http.StatusGatewayTimeout, verdict.ReasonDeadline, "the deadline passed before the request began")) {
+		sendAnswer(s.call, s.state.Answer())
+		return
+	}
+	_ = s.stream.Send(wire.RefusedFrom(verdict.Uncertain(verdict.ReasonDeadline, "the deadline passed before the answer was known")))
+}
+
 // alreadyRefused reports whether the run was refused before it began.
 func (t *target) alreadyRefused() bool { return t.state.State() == ledger.Spent }
 
