peers: a recall keeps the counts of services that got no retries for some seconds

What servers saw: beside refusals and kills in a series, a gateway forgot up to 21 retries at the model service (of 29 in its part) and sent them again, when its budget was used up for 4 s, or when its former start had lived for less than 1.2 s.

Cause: a record was too old for a recall when its own age was over 4 s, though the gateway was heard since, because of another service. And a start that had recalled counts announced them 1.2 s later at the earliest; killed before, it left only the older records.

Fix: replies to a query say when the sender last heard the gateway, and the 4 s count from then. A gateway announces what it has recalled at once.

--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -83,6 +83,9 @@
 	// Keeper is true if the receiver is a keeper of the gateway's counts, which receives a
 	// record before each retry. Others receive older counts.
 	Keeper bool `cbor:"10,keyasint,omitempty"`
+	// SilentMS is, in the reply to a RetryQuery, how long ago the sender last received any
+	// record of the gateway, in milliseconds.
+	SilentMS int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // RetryQuery asks for the RetryRecords of a gateway. A gateway passes it on to the agents
@@ -324,7 +327,7 @@
 		}
 	}
 	return len(m.Owner) <= maxNameBytes && len(m.Service) <= maxNameBytes && m.AgeMS >= 0 && m.AgeMS <= maxHeldMS &&
-		m.HeldMS >= 0 && m.HeldMS <= maxHeldMS && m.Gateways >= 0 && m.Gateways <= MaxRanks
+		m.HeldMS >= 0 && m.HeldMS <= maxHeldMS && m.SilentMS >= 0 && m.SilentMS <= maxHeldMS && m.Gateways >= 0 && m.Gateways <= MaxRanks
 }
 
 // MaxRanks limits the ranks of a group; the largest group in use has 72.
--- a/internal/peers/retryexchange.go
+++ b/internal/peers/retryexchange.go
@@ -142,12 +142,17 @@
 func (x *RetryExchange) Recall() (done bool) {
 	self := x.self().ControlAddress
 	x.mu.Lock()
-	if !x.recallDone && !x.recalledAt.IsZero() && x.now().Sub(x.recalledAt) >= recallTime {
+	restored := !x.recallDone && !x.recalledAt.IsZero() && x.now().Sub(x.recalledAt) >= recallTime
+	if restored {
 		x.restore()
 	}
 	x.recallDone = x.recallDone || x.recalledAt.IsZero() && x.now().Sub(x.started) >= recallLimit || x.budgets.HeldFor() == 0
 	done = x.recallDone
 	x.mu.Unlock()
+	if restored {
+		// This process may be killed before its next announcement.
+		x.Announce()
+	}
 	if done {
 		return true
 	}
@@ -180,7 +185,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := x.now()
-	silent := time.Duration(m.AgeMS)*time.Millisecond - now.Sub(x.started)
+	silent := time.Duration(m.SilentMS)*time.Millisecond - now.Sub(x.started)
 	if x.recallDone || m.Start == self.Start || silent > maxSilence {
 		return
 	}
--- a/internal/peers/retryexchange_test.go
+++ b/internal/peers/retryexchange_test.go
@@ -19,6 +19,8 @@
 	starts   int
 	// cut holds the gateways that reach nobody.
 	cut map[string]bool
+	// passed is added to the time of all processes.
+	passed time.Duration
 	// unheardAgents is true if new gateways have not heard the agents.
 	unheardAgents bool
 }
@@ -48,6 +50,8 @@
 	g := &retryGateway{budgets: retry.NewServiceBudgets(0.2, 10*time.Second), members: newTestMembers(self)}
 	g.RetryExchange = NewRetryExchange(func() Peer { return self }, g.members.Members, g.budgets, func(to string, m Message) { f.deliver(self.ControlAddress, to, m) })
 	g.now = func() time.Time { return time.Now().Add(g.age) }
+	g.age, g.started = f.passed, g.now().Add(f.passed)
+	g.ledger.now = func() time.Time { return time.Now().Add(f.passed) }
 	f.gateways[self.ControlAddress] = g
 	for address, other := range f.gateways {
 		other.members.HandleHello(&Hello{From: self})
@@ -174,6 +178,48 @@
 	}
 }
 
+// pass lets time pass for all processes.
+func (f *retryFleet) pass(d time.Duration) {
+	f.passed += d
+	now := func() time.Time { return time.Now().Add(f.passed) }
+	for _, a := range f.agents {
+		a.now = now
+	}
+	for _, g := range f.gateways {
+		g.ledger.now = now
+		g.age = f.passed
+	}
+}
+
+// Guards against a recall that forgets the counts of a service which got no retries for some
+// seconds: the gateway was heard since, because of another service, or its former start
+// had recalled them and was killed before it sent a retry.
+func TestRecallKeepsCountsOfAQuietService(t *testing.T) {
+	for name, meanwhile := range map[string]func(f *retryFleet){
+		"retries at another service": func(f *retryFleet) {
+			f.pass(6 * time.Second)
+			f.gateways["g0:1"].AnnounceService("other")
+		},
+		"short-lived starts": func(f *retryFleet) {
+			for range 2 {
+				f.pass(3 * time.Second)
+				f.start("g0").recall()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRetryFleet(3, 2)
+			f.begin()
+			is.Equal(f.gateways["g0:1"].spend(), 30)
+			meanwhile(f)
+			g := f.start("g0")
+			is.True(g.recall())
+			is.Equal(g.budgets.Usage("s").Own.Retries, 30.0)
+		})
+	}
+}
+
 // Guards against retries of a gateway that can't know what was sent before it: nobody
 // remembers its predecessor, or it was cut off when the predecessor was last heard.
 func TestGatewayWithoutRecordHoldsItsRetries(t *testing.T) {
--- a/internal/peers/retryledger.go
+++ b/internal/peers/retryledger.go
@@ -82,7 +82,7 @@
 	out := make([]*RetryRecord, 0, len(o.services))
 	for _, k := range o.services {
 		m := k.RetryRecord
-		m.AgeMS = k.age(now).Milliseconds()
+		m.AgeMS, m.SilentMS = k.age(now).Milliseconds(), now.Sub(o.at).Milliseconds()
 		out = append(out, &m)
 	}
 	return out
