agent: read each line of an engine's event stream once

The check for error events copied each line up to three times, once a token. The behaviour is the same; TestEngineErrorAfterPartsIsNoCompleteAnswer passes.

--- a/internal/agent/engine.go
+++ b/internal/agent/engine.go
@@ -99,13 +99,16 @@
 	lines.Buffer(nil, maxEventBytes)
 	eventType := ""
 	for lines.Scan() {
-		if lines.Text() == "" {
+		line := lines.Text()
+		if line == "" {
 			eventType = ""
+			continue
 		}
-		if name, ok := strings.CutPrefix(lines.Text(), "event:"); ok {
+		if name, ok := strings.CutPrefix(line, "event:"); ok {
 			eventType = strings.TrimSpace(name)
+			continue
 		}
-		data, ok := strings.CutPrefix(lines.Text(), "data:")
+		data, ok := strings.CutPrefix(line, "data:")
 		if !ok {
 			continue
 		}
