peers: a former keeper of a gateway's counts does not answer as one

Found on reading, not seen in a play: the record which shows that a gateway has no other counts goes to its keepers only. A process that was a keeper kept that record and its mark, and could so begin a recall with the older counts that other gateways receive.

Fix: the last record of a gateway says whether the receiver is its keeper now. TestFormerKeeperIsNoKeeper failed before.

--- a/internal/peers/retryexchange_test.go
+++ b/internal/peers/retryexchange_test.go
@@ -178,6 +178,22 @@
 	}
 }
 
+// Guards against a process that answers as a keeper of a gateway's counts because it was one
+// before: the record that shows that there are no other counts goes to keepers only.
+func TestFormerKeeperIsNoKeeper(t *testing.T) {
+	is := is.New(t)
+	l := NewRetryLedger()
+	l.Keep(&RetryRecord{Owner: "g:1", Start: 1, Sequence: 1, Keeper: true})
+	l.Keep(&RetryRecord{Owner: "g:1", Start: 1, Sequence: 2, Service: "s", Keeper: true})
+	for _, m := range l.Answer(&RetryQuery{Owner: "g:1"}) {
+		is.True(m.Keeper)
+	}
+	l.Keep(&RetryRecord{Owner: "g:1", Start: 1, Sequence: 3, Service: "s"})
+	for _, m := range l.Answer(&RetryQuery{Owner: "g:1"}) {
+		is.True(!m.Keeper)
+	}
+}
+
 // pass lets time pass for all processes.
 func (f *retryFleet) pass(d time.Duration) {
 	f.passed += d
--- a/internal/peers/retryledger.go
+++ b/internal/peers/retryledger.go
@@ -24,9 +24,11 @@
 	owners map[string]*ownerRecords
 }
 
-// ownerRecords holds the latest record of each service of one gateway.
+// ownerRecords holds the latest record of each service of one gateway. keeper is true if
+// this process is a keeper of its counts now.
 type ownerRecords struct {
 	at       time.Time
+	keeper   bool
 	services map[string]keptRecord
 }
 
@@ -58,7 +60,7 @@
 	if known && old.Start == m.Start && old.Sequence >= m.Sequence || !known && len(o.services) >= maxOwnerServices {
 		return
 	}
-	o.at = now
+	o.at, o.keeper = now, m.Keeper
 	o.services[m.Service] = keptRecord{RetryRecord: *m, at: now}
 }
 
@@ -82,7 +84,7 @@
 	out := make([]*RetryRecord, 0, len(o.services))
 	for _, k := range o.services {
 		m := k.RetryRecord
-		m.AgeMS, m.SilentMS = k.age(now).Milliseconds(), now.Sub(o.at).Milliseconds()
+		m.AgeMS, m.SilentMS, m.Keeper = k.age(now).Milliseconds(), now.Sub(o.at).Milliseconds(), o.keeper
 		out = append(out, &m)
 	}
 	return out
