soak: a process that does not stop prints its stacks, in restarts in series too

A process that does not stop in time now writes the stacks of its goroutines, and the times of all stops are in the log of faults. Restarts in series killed such a process without a report; they report it now.

--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -24,6 +24,8 @@
 	pollInterval = 20 * time.Millisecond
 	// freezeTimeout limits the wait until a process has stopped.
 	freezeTimeout = 2 * time.Second
+	// dumpTimeout limits the wait until a process has written its stacks.
+	dumpTimeout = 2 * time.Second
 )
 
 // Process is a process of the fleet that can be restarted with the same arguments
@@ -158,6 +160,18 @@
 	}
 }
 
+// DumpStacks makes a process that does not stop write the stacks of its goroutines to its
+// log and exit.
+func (p *Process) DumpStacks() {
+	if p.signal(syscall.SIGQUIT) != nil {
+		return
+	}
+	select {
+	case <-p.Exited():
+	case <-time.After(dumpTimeout):
+	}
+}
+
 // Freeze suspends the process with SIGSTOP and waits until all of its threads have
 // stopped: on a busy machine that takes some milliseconds.
 func (p *Process) Freeze() error {
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -139,8 +139,8 @@
 					g.Kill()
 				}
 			}, func() {
-				if !kill && g.Stop(stopBound) != nil {
-					g.Kill()
+				if !kill {
+					x.stop(g.Process)
 				}
 				x.start(g.Process)
 			})
@@ -185,14 +185,23 @@
 func (x *faults) terminate() {
 	p := x.process()
 	x.injectFor(p.Name, "terminated", 10*time.Millisecond, func() {}, func() {
-		if err := p.Stop(stopBound); err != nil {
-			x.fleet.t.Errorf("%s: %v", p.Name, err)
-			p.Kill()
-		}
+		x.stop(p)
 		x.start(p)
 	})
 }
 
+// stop stops a process, and reports one that does not stop in time.
+func (x *faults) stop(p *harness.Process) {
+	began := time.Now()
+	err := p.Stop(stopBound)
+	x.note("%s: stopped after %s", p.Name, time.Since(began).Round(time.Millisecond))
+	if err != nil {
+		p.DumpStacks()
+		x.fleet.t.Errorf("%s: %v\n%s", p.Name, err, tail(p.Log(), 600))
+		p.Kill()
+	}
+}
+
 func (x *faults) sendHangUp() {
 	p := x.process()
 	x.note("%s: SIGHUP", p.Name)
