--- a/internal/retry/service.go
+++ b/internal/retry/service.go
@@ -111,8 +111,9 @@
 	if b.elapsed() < b.heldUntil || !own.allowsRetry(b.ratio, b.fixed) {
 		return false
 	}
-	b.others(service, &own)
-	if !own.allowsRetry(b.ratio, b.fleetFixed) {
+	all := own
+	b.others(service, &all)
+	if !all.allowsRetry(b.ratio, b.fleetFixed) {
 		return false
 	}
 	h.reserved++
