feed: log the history that each response of the store comes from

The store identifies its history in a header of each response, and nothing read it. The feed now logs store_history_changed with the call that saw the change and the positions on both sides.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -54,16 +54,25 @@
 	Deleted  bool
 }
 
+// Position is a point in one history of the store. A store that is restored from an older
+// copy begins a new history, in which it assigns the revisions after the copy's a second
+// time.
+type Position struct {
+	// History identifies the history; it is empty if the store does not identify it.
+	History  string
+	Revision int64
+}
+
 // Source reads from the store.
 type Source interface {
-	// Read returns the item of a key.
-	Read(ctx context.Context, key string) (item Item, found bool, err error)
-	// List returns the items under a key prefix and the store's revision.
-	List(ctx context.Context, prefix string) ([]Item, int64, error)
-	// Watch returns the changes under a key prefix after a revision and the store's
-	// revision. It returns no changes if there are none within wait, and ErrCompacted
-	// if the store no longer has the changes after that revision.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
+	// Read returns the item of a key and the history that the response comes from.
+	Read(ctx context.Context, key string) (item Item, found bool, history string, err error)
+	// List returns the items under a key prefix and the store's position.
+	List(ctx context.Context, prefix string) ([]Item, Position, error)
+	// Watch returns the changes under a key prefix after a position and the store's
+	// position. It returns no changes if there are none within wait, and ErrCompacted
+	// if the store no longer has the changes after that position.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
 }
 
 // Documents defines the key layout of the store and decodes its values.
@@ -108,6 +117,8 @@
 	// to the time when this process found it gone.
 	missingSince map[string]time.Time
 	disconnected bool
+	// position is that of the last response of the store.
+	position Position
 }
 
 // New returns an empty feed; Run fills it. otherConnectedFor returns the longest time
@@ -161,10 +172,10 @@
 func (f *Feed) Run(ctx context.Context) {
 	pause := minRetryPause
 	for ctx.Err() == nil {
-		revision, err := f.readAll(ctx)
+		at, err := f.readAll(ctx)
 		if err == nil {
 			pause = minRetryPause
-			err = f.follow(ctx, revision)
+			err = f.follow(ctx, at)
 		}
 		if errors.Is(err, ErrCompacted) {
 			f.recorder.Record("store_history_lost", "", events.F("age_ms", f.Age().Milliseconds()))
@@ -192,19 +203,30 @@
 	f.disconnected = false
 }
 
-// readAll reads the whole copy from the store and returns the revision to watch from.
-func (f *Feed) readAll(ctx context.Context) (int64, error) {
+// observe records the position of a response and logs a change of the history.
+func (f *Feed) observe(call string, at Position) {
+	if f.position.History != at.History && f.position.Revision > 0 {
+		f.recorder.Record("store_history_changed", "", events.F("call", call), events.F("former", f.position.History), events.F("former_revision", f.position.Revision),
+			events.F("history", at.History), events.F("revision", at.Revision))
+	}
+	f.position = at
+}
+
+// readAll reads the whole copy from the store and returns the position to watch from.
+func (f *Feed) readAll(ctx context.Context) (Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	asked := time.Now()
-	items, revision, err := f.source.List(ctx, f.documents.ServersPrefix())
+	items, at, err := f.source.List(ctx, f.documents.ServersPrefix())
 	if err != nil {
-		return 0, err
+		return Position{}, err
 	}
-	configuration, found, err := f.source.Read(ctx, f.documents.ConfigurationKey())
+	f.observe("list", at)
+	configuration, found, history, err := f.source.Read(ctx, f.documents.ConfigurationKey())
 	if err != nil {
-		return 0, err
+		return Position{}, err
 	}
+	f.observe("read", Position{History: history, Revision: at.Revision})
 	outage := f.Age() > outageAfter
 	if outage {
 		f.connectedSince.Store(asked.Sub(f.start).Nanoseconds())
@@ -216,7 +238,7 @@
 	}
 	f.confirm(asked)
 	f.publish()
-	return revision, nil
+	return at, nil
 }
 
 // replaceServers applies a full listing. After an outage of the store, entries that
@@ -243,13 +265,13 @@
 }
 
 // follow applies changes until a watch fails or ctx is done.
-func (f *Feed) follow(ctx context.Context, revision int64) error {
+func (f *Feed) follow(ctx context.Context, at Position) error {
 	for ctx.Err() == nil {
-		next, changed, err := f.watchOnce(ctx, revision, f.nextWait())
+		next, changed, err := f.watchOnce(ctx, at, f.nextWait())
 		if err != nil {
 			return err
 		}
-		revision = next
+		at = next
 		if changed {
 			sleep(ctx, batchPause)
 		}
@@ -275,14 +297,15 @@
 
 // watchOnce makes one watch call and applies its changes. It returns the revision to
 // watch from next and whether there were changes.
-func (f *Feed) watchOnce(ctx context.Context, revision int64, wait time.Duration) (next int64, changed bool, err error) {
+func (f *Feed) watchOnce(ctx context.Context, after Position, wait time.Duration) (next Position, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
 	asked := time.Now()
-	changes, next, err := f.source.Watch(ctx, f.documents.WatchPrefix(), revision, wait)
+	changes, next, err := f.source.Watch(ctx, f.documents.WatchPrefix(), after, wait)
 	if err != nil {
-		return 0, false, err
+		return Position{}, false, err
 	}
+	f.observe("watch", next)
 	for _, i := range changes {
 		f.applyChange(i)
 	}
@@ -294,7 +317,8 @@
 	if f.removeMissing() || len(changes) > 0 {
 		f.publish()
 	}
-	return max(next, revision), len(changes) > 0, nil
+	next.Revision = max(next.Revision, after.Revision)
+	return next, len(changes) > 0, nil
 }
 
 // applyChange applies one change of the store; keys of other kinds are ignored.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -24,6 +27,28 @@
 	revision  int64
 	compacted int64 // history up to this revision is compacted
 	down      bool
+	// restores is the number of restores; each begins a new history.
+	restores int
+}
+
+// position returns the current position. The caller holds mu.
+func (s *store) position() Position {
+	return Position{History: strconv.Itoa(s.restores), Revision: s.revision}
+}
+
+// copy returns a copy of the store's content.
+func (s *store) copy() *store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &store{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, compacted: s.compacted}
+}
+
+// restore replaces the content by that of a copy and begins a new history.
+func (s *store) restore(c *store) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.history, s.revision, s.compacted = maps.Clone(c.items), slices.Clone(c.history), c.revision, c.compacted
+	s.restores++
 }
 
 var errDown = errors.New("the store is down")
@@ -52,21 +77,21 @@
 	f(s)
 }
 
-func (s *store) Read(_ context.Context, key string) (Item, bool, error) {
+func (s *store) Read(_ context.Context, key string) (Item, bool, string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return Item{}, false, errDown
+		return Item{}, false, "", errDown
 	}
 	i, ok := s.items[key]
-	return i, ok, nil
+	return i, ok, s.position().History, nil
 }
 
-func (s *store) List(_ context.Context, prefix string) ([]Item, int64, error) {
+func (s *store) List(_ context.Context, prefix string) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, errDown
+		return nil, Position{}, errDown
 	}
 	var out []Item
 	for key, i := range s.items {
@@ -74,28 +99,28 @@
 			out = append(out, i)
 		}
 	}
-	return out, s.revision, nil
+	return out, s.position(), nil
 }
 
-func (s *store) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error) {
+func (s *store) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error) {
 	end := time.Now().Add(wait)
 	for {
-		changes, revision, err := s.since(prefix, after)
+		changes, at, err := s.since(prefix, after.Revision)
 		if err != nil || len(changes) > 0 || time.Now().After(end) || ctx.Err() != nil {
-			return changes, revision, errors.Join(err, ctx.Err())
+			return changes, at, errors.Join(err, ctx.Err())
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
 }
 
-func (s *store) since(prefix string, after int64) ([]Item, int64, error) {
+func (s *store) since(prefix string, after int64) ([]Item, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, errDown
+		return nil, Position{}, errDown
 	}
-	if after < s.compacted {
-		return nil, 0, ErrCompacted
+	if after < s.compacted || after > s.revision {
+		return nil, Position{}, ErrCompacted
 	}
 	var out []Item
 	for _, i := range s.history {
@@ -103,7 +128,7 @@
 			out = append(out, i)
 		}
 	}
-	return out, s.revision, nil
+	return out, s.position(), nil
 }
 
 // documents decodes the format of the fake store.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -130,8 +130,8 @@
 	return l.b.String()
 }
 
-func (s *fakeStore) Read(context.Context, string) (feed.Item, bool, error) {
-	return feed.Item{Key: "config", Value: []byte("c")}, true, s.err()
+func (s *fakeStore) Read(context.Context, string) (feed.Item, bool, string, error) {
+	return feed.Item{Key: "config", Value: []byte("c")}, true, "", s.err()
 }
 
 func (s *fakeStore) err() error {
@@ -143,7 +143,7 @@
 	return nil
 }
 
-func (s *fakeStore) List(context.Context, string) ([]feed.Item, int64, error) {
+func (s *fakeStore) List(context.Context, string) ([]feed.Item, feed.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []feed.Item
@@ -152,12 +152,12 @@
 			out = append(out, feed.Item{Key: "servers/" + servers[i].ID})
 		}
 	}
-	return out, 1, nil
+	return out, feed.Position{Revision: 1}, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) ([]feed.Item, int64, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, after feed.Position, wait time.Duration) ([]feed.Item, feed.Position, error) {
 	if err := s.err(); err != nil {
-		return nil, 0, err
+		return nil, feed.Position{}, err
 	}
 	select {
 	case <-ctx.Done():
