--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -43,12 +43,23 @@
 	return &store{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, compacted: s.compacted}
 }
 
-// restore replaces the content by that of a copy and begins a new history.
-func (s *store) restore(c *store) {
+// restore replaces the content by that of a copy, begins a new history and runs then in
+// it before any call is answered.
+func (s *store) restore(c *store, then func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.items, s.history, s.revision, s.compacted = maps.Clone(c.items), slices.Clone(c.history), c.revision, c.compacted
 	s.restores++
+	if then != nil {
+		then()
+	}
+}
+
+// fail makes the store refuse all calls for d.
+func (s *store) fail(d time.Duration) {
+	s.set(func(s *store) { s.down = true })
+	time.Sleep(d)
+	s.set(func(s *store) { s.down = false })
 }
 
 var errDown = errors.New("the store is down")
@@ -58,6 +69,11 @@
 func (s *store) put(key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.write(key, value)
+}
+
+// write writes an item. The caller holds mu.
+func (s *store) write(key, value string) {
 	s.revision++
 	s.items[key] = Item{Key: key, Value: []byte(value), Revision: s.revision}
 	s.history = append(s.history, s.items[key])
@@ -158,7 +174,7 @@
 // noOtherConnection reports that no other process is connected to the store.
 func noOtherConnection() time.Duration { return 0 }
 
-func start(t *testing.T, s *store, otherConnectedFor func() time.Duration) *Feed {
+func start(t *testing.T, s Source, otherConnectedFor func() time.Duration) *Feed {
 	t.Helper()
 	f := New(s, documents{}, events.NewRecorder("test", 1, io.Discard), otherConnectedFor)
 	ctx, cancel := context.WithCancel(context.Background())
