feed: a position holds only in its own history of the store

Callers got 404 on a route that had been confirmed seconds before, and requests ran at the service of an older configuration, until the next change or full read.

Cause: the feed watched from a bare revision. After a restore the store assigns revisions again, so a watch from revision 40 of the former history is valid in the new one and leaves out what lies below 40 there. A process that got no error never read the whole store again: frozen processes, those in a pause between two calls, and those whose pending watch the HTTP client repeated by itself on a new connection. A full read could also combine the servers and the position of one history with the configuration of the next.

A position is now a history and a revision. The responses of one full read must be of one history, and a watch that answers from another history, or from before the position, leads to a full read. The pause before a full read is random and grows until a watch succeeds: all processes lose a restored store at the same moment.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,10 @@
 // after the requested revision.
 var ErrCompacted = errors.New("the store has compacted the changes after this revision")
 
+// ErrHistoryChanged is returned when responses that belong together come from different
+// histories of the store.
+var ErrHistoryChanged = errors.New("the store was restored from a copy")
+
 // Item is the value of one key in the store, or the deletion of the key.
 type Item struct {
 	Key      string
@@ -63,11 +68,18 @@
 	Revision int64
 }
 
+// reachableFrom reports whether p is a later point than from, or the same, in the same
+// history.
+func (p Position) reachableFrom(from Position) bool {
+	return p.History == from.History && p.Revision >= from.Revision
+}
+
 // Source reads from the store.
 type Source interface {
 	// Read returns the item of a key and the history that the response comes from.
 	Read(ctx context.Context, key string) (item Item, found bool, history string, err error)
-	// List returns the items under a key prefix and the store's position.
+	// List returns the items under a key prefix and the store's position. It returns
+	// ErrHistoryChanged if its pages come from different histories.
 	List(ctx context.Context, prefix string) ([]Item, Position, error)
 	// Watch returns the changes under a key prefix after a position and the store's
 	// position. It returns no changes if there are none within wait, and ErrCompacted
@@ -174,15 +186,21 @@
 	for ctx.Err() == nil {
 		at, err := f.readAll(ctx)
 		if err == nil {
-			pause = minRetryPause
-			err = f.follow(ctx, at)
+			var followed bool
+			if followed, err = f.follow(ctx, at); followed {
+				pause = minRetryPause
+			}
 		}
-		if errors.Is(err, ErrCompacted) {
+		switch {
+		case errors.Is(err, ErrCompacted):
 			f.recorder.Record("store_history_lost", "", events.F("age_ms", f.Age().Milliseconds()))
-			continue
+		case errors.Is(err, ErrHistoryChanged):
+			// observe has logged it.
+		default:
+			f.logDisconnected(err)
 		}
-		f.logDisconnected(err)
-		sleep(ctx, pause)
+		// All processes lose a restored store at the same moment.
+		sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, maxRetryPause)
 	}
 }
@@ -205,7 +223,7 @@
 
 // observe records the position of a response and logs a change of the history.
 func (f *Feed) observe(call string, at Position) {
-	if f.position.History != at.History && f.position.Revision > 0 {
+	if f.position.Revision > 0 && !at.reachableFrom(f.position) {
 		f.recorder.Record("store_history_changed", "", events.F("call", call), events.F("former", f.position.History), events.F("former_revision", f.position.Revision),
 			events.F("history", at.History), events.F("revision", at.Revision))
 	}
@@ -226,7 +244,10 @@
 	if err != nil {
 		return Position{}, err
 	}
-	f.observe("read", Position{History: history, Revision: at.Revision})
+	if history != at.History {
+		f.observe("read", Position{History: history, Revision: at.Revision})
+		return Position{}, ErrHistoryChanged
+	}
 	outage := f.Age() > outageAfter
 	if outage {
 		f.connectedSince.Store(asked.Sub(f.start).Nanoseconds())
@@ -264,19 +285,20 @@
 	f.removeMissing()
 }
 
-// follow applies changes until a watch fails or ctx is done.
-func (f *Feed) follow(ctx context.Context, at Position) error {
+// follow applies changes until a watch fails or ctx is done. It reports whether any watch
+// succeeded.
+func (f *Feed) follow(ctx context.Context, at Position) (followed bool, err error) {
 	for ctx.Err() == nil {
 		next, changed, err := f.watchOnce(ctx, at, f.nextWait())
 		if err != nil {
-			return err
+			return followed, err
 		}
-		at = next
+		at, followed = next, true
 		if changed {
 			sleep(ctx, batchPause)
 		}
 	}
-	return ctx.Err()
+	return followed, ctx.Err()
 }
 
 // nextWait returns how long the next watch waits. While servers are missing, the wait
@@ -295,8 +317,9 @@
 	return max(wait, minWatchWait)
 }
 
-// watchOnce makes one watch call and applies its changes. It returns the revision to
-// watch from next and whether there were changes.
+// watchOnce makes one watch call and applies its changes. It returns the position to
+// watch from next and whether there were changes, or ErrHistoryChanged if the response
+// does not continue from the given position.
 func (f *Feed) watchOnce(ctx context.Context, after Position, wait time.Duration) (next Position, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
@@ -306,6 +329,9 @@
 		return Position{}, false, err
 	}
 	f.observe("watch", next)
+	if !next.reachableFrom(after) {
+		return Position{}, false, ErrHistoryChanged
+	}
 	for _, i := range changes {
 		f.applyChange(i)
 	}
@@ -317,7 +343,6 @@
 	if f.removeMissing() || len(changes) > 0 {
 		f.publish()
 	}
-	next.Revision = max(next.Revision, after.Revision)
 	return next, len(changes) > 0, nil
 }
 
