feed: servers over a restore of the store

What callers would see after a restore: a refusal or a longer queue while sound servers that registered after the copy was made are dropped, and requests at a server that had reported that it leaves, or whose address another server has taken.

Cause: entries were ordered by their arrival, which is the order of one history only. The first listing of a new history was applied as if it followed what this process knew, and another process's connection to the former history counted as proof that an absent server had deregistered.

The first listing of a history is now compared by what the servers say of themselves. A server does not stop leaving within one start, and an entry of an earlier start, or of a server that was gone, is ignored until it is written again or has outlived its expiry (5 s). Servers that are not listed are kept for the grace period of an outage, which only a connection to the same history cuts short. An entry that becomes unreadable names no server any more.

TestConnectionToFormerHistoryProvesNothing, TestUnreadableEntryNamesNoServer and TestDoubtedServerIsUsedWhenItsEntryDoesNotExpire are new.

Open: a process that starts while the copy still lists a server that had left has no memory of it, and uses it until its entry expires.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,10 +34,6 @@
 	// call; the pause doubles with each failure.
 	minRetryPause = 60 * time.Millisecond
 	maxRetryPause = 500 * time.Millisecond
-	// missingGracePeriod is how long missing servers are kept after the store responds
-	// again. Entries that expired during the outage are registered again within
-	// about 2 s.
-	missingGracePeriod = 2300 * time.Millisecond
 	// outageAfter is the time without a response after which an outage of the store
 	// is assumed. Entries expire after three heartbeats of 1.2 s.
 	outageAfter = 2500 * time.Millisecond
@@ -113,34 +109,31 @@
 	snapshot  atomic.Pointer[Snapshot]
 	// confirmed is the latest time, in nanoseconds since start, at which the copy is
 	// known to have been complete; -1 before the first read. connectedSince is the
-	// time, in nanoseconds since start, since which the store has responded without an
-	// outage of more than outageAfter.
+	// time, in nanoseconds since start, since which the store has responded from
+	// connectedHistory without an outage of more than outageAfter.
 	confirmed, connectedSince atomic.Int64
+	connectedHistory          atomic.Pointer[string]
 	start                     time.Time
-	// otherConnectedFor returns the longest time for which another process has been
-	// connected to the store.
-	otherConnectedFor func() time.Duration
-	changed           chan struct{}
+	otherConnectedFor         func(history string) time.Duration
+	changed                   chan struct{}
 
-	servers       map[string]*deployment.Server
+	servers       *servers
 	configuration *deployment.Configuration
-	// missingSince holds the missing servers: those whose entries were gone after an
-	// outage of the store and may have expired during it. It maps the key of each entry
-	// to the time when this process found it gone.
-	missingSince map[string]time.Time
-	disconnected bool
-	// position is that of the last response of the store.
+	disconnected  bool
+	// position is that of the last response of the store, and history the number of
+	// histories that this process has seen, the current one included.
 	position Position
+	history  int
 }
 
 // New returns an empty feed; Run fills it. otherConnectedFor returns the longest time
-// for which another process has been connected to the store without interruption, 0 if
-// no other process is known to be connected.
-func New(source Source, documents Documents, recorder *events.Recorder, otherConnectedFor func() time.Duration) *Feed {
+// for which another process has been connected to a history of the store without
+// interruption, 0 if no other process is known to be connected to it.
+func New(source Source, documents Documents, recorder *events.Recorder, otherConnectedFor func(history string) time.Duration) *Feed {
 	f := &Feed{
 		source: source, documents: documents, recorder: recorder, start: time.Now(), otherConnectedFor: otherConnectedFor,
 		changed: make(chan struct{}, 1),
-		servers: map[string]*deployment.Server{}, missingSince: map[string]time.Time{},
+		servers: newServers(documents, recorder),
 	}
 	f.confirmed.Store(-1)
 	f.snapshot.Store(&Snapshot{})
@@ -163,13 +156,17 @@
 	return time.Since(f.start) - time.Duration(at)
 }
 
-// ConnectedFor returns how long the store has responded to this process without an outage,
-// 0 if it is currently not responding.
-func (f *Feed) ConnectedFor() time.Duration {
+// Connection returns the history of the store that this process is connected to, and how
+// long the store has responded from it without an outage, 0 if it is currently not
+// responding.
+func (f *Feed) Connection() (history string, connected time.Duration) {
+	if h := f.connectedHistory.Load(); h != nil {
+		history = *h
+	}
 	if f.Age() > outageAfter {
-		return 0
+		return history, 0
 	}
-	return time.Since(f.start) - time.Duration(f.connectedSince.Load())
+	return history, time.Since(f.start) - time.Duration(f.connectedSince.Load())
 }
 
 // confirm records that the copy was complete at the given time.
@@ -223,7 +220,10 @@
 
 // observe records the position of a response and logs a change of the history.
 func (f *Feed) observe(call string, at Position) {
-	if f.position.Revision > 0 && !at.reachableFrom(f.position) {
+	if f.history == 0 {
+		f.history = 1
+	} else if !at.reachableFrom(f.position) {
+		f.history++
 		f.recorder.Record("store_history_changed", "", events.F("call", call), events.F("former", f.position.History), events.F("former_revision", f.position.Revision),
 			events.F("history", at.History), events.F("revision", at.Revision))
 	}
@@ -249,11 +249,13 @@
 		return Position{}, ErrHistoryChanged
 	}
 	outage := f.Age() > outageAfter
-	if outage {
+	if outage || f.history != f.servers.history {
+		f.connectedHistory.Store(&at.History)
 		f.connectedSince.Store(asked.Sub(f.start).Nanoseconds())
 	}
 	f.logReconnected()
-	f.replaceServers(items, outage)
+	f.servers.replace(items, f.history, outage)
+	f.servers.expire(f.otherConnectedFor(at.History))
 	if found {
 		f.applyConfiguration(configuration)
 	}
@@ -262,34 +264,11 @@
 	return at, nil
 }
 
-// replaceServers applies a full listing. After an outage of the store, entries that
-// are not in the listing may have expired during the outage; they are kept as missing
-// until removeMissing removes them.
-func (f *Feed) replaceServers(items []Item, outage bool) {
-	present := make(map[string]bool, len(items))
-	for _, i := range items {
-		present[i.Key] = true
-		f.applyServer(i)
-	}
-	now := time.Now()
-	for key := range f.servers {
-		_, isMissing := f.missingSince[key]
-		switch {
-		case present[key] || isMissing:
-		case outage:
-			f.missingSince[key] = now
-		default:
-			f.removeServer(key, "unlisted")
-		}
-	}
-	f.removeMissing()
-}
-
 // follow applies changes until a watch fails or ctx is done. It reports whether any watch
 // succeeded.
 func (f *Feed) follow(ctx context.Context, at Position) (followed bool, err error) {
 	for ctx.Err() == nil {
-		next, changed, err := f.watchOnce(ctx, at, f.nextWait())
+		next, changed, err := f.watchOnce(ctx, at, f.servers.nextWait())
 		if err != nil {
 			return followed, err
 		}
@@ -301,22 +280,6 @@
 	return followed, ctx.Err()
 }
 
-// nextWait returns how long the next watch waits. While servers are missing, the wait
-// ends no later than the grace period of any of them, and is shorter than usual because
-// another process may report that the store was available all along.
-func (f *Feed) nextWait() time.Duration {
-	// missingWatchWait and minWatchWait limit the number of calls to the store.
-	const missingWatchWait, minWatchWait = watchWait / 4, 100 * time.Millisecond
-	if len(f.missingSince) == 0 {
-		return watchWait
-	}
-	wait := missingWatchWait
-	for _, since := range f.missingSince {
-		wait = min(wait, time.Until(since.Add(missingGracePeriod)))
-	}
-	return max(wait, minWatchWait)
-}
-
 // watchOnce makes one watch call and applies its changes. It returns the position to
 // watch from next and whether there were changes, or ErrHistoryChanged if the response
 // does not continue from the given position.
@@ -340,7 +303,7 @@
 		asked = asked.Add(wait)
 	}
 	f.confirm(asked)
-	if f.removeMissing() || len(changes) > 0 {
+	if f.servers.expire(f.otherConnectedFor(next.History)) || len(changes) > 0 {
 		f.publish()
 	}
 	return next, len(changes) > 0, nil
@@ -355,9 +318,9 @@
 		}
 	case !strings.HasPrefix(i.Key, f.documents.ServersPrefix()):
 	case i.Deleted:
-		f.removeServer(i.Key, "deleted")
+		f.servers.remove(i.Key, "deleted")
 	default:
-		f.applyServer(i)
+		f.servers.write(i)
 	}
 }
 
@@ -376,50 +339,10 @@
 	f.recorder.Record("configuration_taken", "", events.F("version", c.Version), events.F("revision", i.Revision))
 }
 
-// applyServer applies a server entry, unless it is unreadable.
-func (f *Feed) applyServer(i Item) {
-	s, err := f.documents.Server(i.Key, i.Value)
-	if err != nil {
-		f.recorder.Record("server_entry_unreadable", "", events.F("revision", i.Revision), events.F("error", err.Error()))
-		return
-	}
-	old := f.servers[i.Key]
-	f.servers[i.Key] = s
-	delete(f.missingSince, i.Key)
-	if old == nil || old.Leaving != s.Leaving || old.StartMS != s.StartMS || old.Address != s.Address {
-		f.recorder.Record("server_seen", "", events.F("server", s.ID), events.F("service", s.Service), events.F("address", s.Address),
-			events.F("zone", string(s.Zone)), events.F("leaving", s.Leaving), events.F("revision", i.Revision))
-	}
-}
-
-// removeServer removes a server and logs the reason.
-func (f *Feed) removeServer(key, reason string) {
-	if s := f.servers[key]; s != nil {
-		f.recorder.Record("server_gone", "", events.F("server", s.ID), events.F("reason", reason))
-	}
-	delete(f.servers, key)
-	delete(f.missingSince, key)
-}
-
-// removeMissing removes the missing servers whose grace period has ended, and reports
-// whether it removed any. The grace period starts when any process is connected to the
-// store again: if another process was connected throughout, only this process lost its
-// connection, and the missing servers have deregistered.
-func (f *Feed) removeMissing() bool {
-	now, otherConnected, removed := time.Now(), f.otherConnectedFor(), false
-	for key, since := range f.missingSince {
-		if max(now.Sub(since), otherConnected) >= missingGracePeriod {
-			f.removeServer(key, "not registered again after the store outage")
-			removed = true
-		}
-	}
-	return removed
-}
-
 // publish replaces the snapshot and signals the change.
 func (f *Feed) publish() {
 	s := &Snapshot{Configuration: f.configuration, Servers: map[string][]*deployment.Server{}}
-	for _, server := range newestByAddress(f.servers) {
+	for _, server := range f.servers.newestByAddress() {
 		s.Servers[server.Service] = append(s.Servers[server.Service], server)
 	}
 	f.snapshot.Store(s)
@@ -429,19 +352,6 @@
 	}
 }
 
-// newestByAddress returns the newest server of each address. The entry of a terminated
-// server remains for some seconds, and the server that has taken over its address
-// refuses every request that is meant for the old one.
-func newestByAddress(servers map[string]*deployment.Server) map[string]*deployment.Server {
-	newest := make(map[string]*deployment.Server, len(servers))
-	for _, s := range servers {
-		if other := newest[s.Address]; other == nil || s.StartMS > other.StartMS {
-			newest[s.Address] = s
-		}
-	}
-	return newest
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -172,9 +172,14 @@
 )
 
 // noOtherConnection reports that no other process is connected to the store.
-func noOtherConnection() time.Duration { return 0 }
+func noOtherConnection(string) time.Duration { return 0 }
 
-func start(t *testing.T, s Source, otherConnectedFor func() time.Duration) *Feed {
+func connectedFor(f *Feed) time.Duration {
+	_, connected := f.Connection()
+	return connected
+}
+
+func start(t *testing.T, s Source, otherConnectedFor func(string) time.Duration) *Feed {
 	t.Helper()
 	f := New(s, documents{}, events.NewRecorder("test", 1, io.Discard), otherConnectedFor)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -256,7 +261,7 @@
 			s := newStore()
 			s.put("servers/new", serverNew)
 			s.put("servers/two", serverTwo)
-			f := start(t, s, func() time.Duration { return x.connectedFor })
+			f := start(t, s, func(string) time.Duration { return x.connectedFor })
 			eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 			s.set(func(s *store) { s.down = true })
 			time.Sleep(outageAfter + 300*time.Millisecond)
@@ -275,13 +280,13 @@
 	s := newStore()
 	s.put("config", "1")
 	f := start(t, s, noOtherConnection)
-	eventually(t, time.Second, "a connection", func() bool { return f.ConnectedFor() > 0 })
+	eventually(t, time.Second, "a connection", func() bool { return connectedFor(f) > 0 })
 	s.set(func(s *store) { s.down = true })
 	time.Sleep(outageAfter + 200*time.Millisecond)
-	is.Equal(f.ConnectedFor(), time.Duration(0))
+	is.Equal(connectedFor(f), time.Duration(0))
 	s.set(func(s *store) { s.down = false })
-	eventually(t, 2*time.Second, "a connection after the outage", func() bool { return f.ConnectedFor() > 0 })
-	is.True(f.ConnectedFor() < 2*time.Second)
+	eventually(t, 2*time.Second, "a connection after the outage", func() bool { return connectedFor(f) > 0 })
+	is.True(connectedFor(f) < 2*time.Second)
 }
 
 // Guards against a configuration that reverts to an older version that is read later,
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -49,6 +49,7 @@
 // Guards against a process that follows a restored store from a position of the former
 // history: it misses the changes whose revisions were assigned again.
 func TestChangesWithReassignedRevisionsAreTaken(t *testing.T) {
+	t.Parallel()
 	s := newStore()
 	s.put("config", "1")
 	copied := s.copy()
@@ -82,6 +83,7 @@
 // Guards against a copy that is put together from two histories: the servers and the
 // position of one, and the configuration of the other.
 func TestFullReadDoesNotSpanHistories(t *testing.T) {
+	t.Parallel()
 	s := newStore()
 	s.put("config", "1")
 	copied := s.copy()
@@ -100,6 +102,7 @@
 // Guards against the removal of sound servers that the copy lacks because they registered
 // after it was made. They register again within a heartbeat.
 func TestServersMissingInCopyAreKept(t *testing.T) {
+	t.Parallel()
 	s := newStore()
 	s.put("config", "1")
 	s.put("servers/two", serverTwo)
@@ -116,6 +119,7 @@
 
 // Guards against a server that is kept for ever because the copy lacks it.
 func TestServersMissingInCopyAreRemovedAfterGracePeriod(t *testing.T) {
+	t.Parallel()
 	s := newStore()
 	s.put("servers/two", serverTwo)
 	copied := s.copy()
@@ -130,6 +134,7 @@
 // Guards against new requests to a server that was leaving before the store was restored
 // from a copy in which it is ready.
 func TestLeavingServerStaysLeavingOverRestore(t *testing.T) {
+	t.Parallel()
 	s := newStore()
 	s.put("servers/new", serverNew)
 	copied := s.copy()
@@ -146,14 +151,16 @@
 // Guards against new requests to a server that was gone before the store was restored from
 // a copy that still has it, and against ignoring a server that does register again.
 func TestGoneServerDoesNotReturnWithCopy(t *testing.T) {
+	t.Parallel()
 	for name, registersAgain := range map[string]bool{"gone": false, "registers again": true} {
 		t.Run(name, func(t *testing.T) {
 			s := newStore()
 			s.put("servers/two", serverTwo)
 			s.put("servers/new", serverNew)
+			f := start(t, s, noOtherConnection)
+			eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 			copied := s.copy()
 			s.remove("servers/new")
-			f := start(t, s, noOtherConnection)
 			eventually(t, time.Second, "one server", func() bool { return serverIDs(f) == "two" })
 			s.fail(200 * time.Millisecond)
 			s.restore(copied, nil)
@@ -169,10 +176,65 @@
 	}
 }
 
+// Guards against a server of the copy that is ignored for ever: its entry would have
+// expired if it did not run.
+func TestDoubtedServerIsUsedWhenItsEntryDoesNotExpire(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	s.put("servers/two", serverTwo)
+	s.put("servers/new", serverNew)
+	f := start(t, s, noOtherConnection)
+	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
+	copied := s.copy()
+	s.remove("servers/new")
+	eventually(t, time.Second, "one server", func() bool { return serverIDs(f) == "two" })
+	s.fail(100 * time.Millisecond)
+	s.restore(copied, nil)
+	time.Sleep(2 * time.Second)
+	s.fail(700 * time.Millisecond) // a second full read of the same history decides nothing
+	holds(t, time.Second, "the server is not used", func() bool { return usable(f) == "two" })
+	eventually(t, doubtPeriod, "the server is used", func() bool { return serverIDs(f) == "new,two" })
+}
+
+// Guards against removing sound servers at once because another process was connected to
+// the store before it was restored.
+func TestConnectionToFormerHistoryProvesNothing(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	s.put("servers/two", serverTwo)
+	copied := s.copy()
+	s.put("servers/late", serverLate)
+	f := start(t, s, func(history string) time.Duration {
+		if history == "0" {
+			return time.Minute
+		}
+		return 0
+	})
+	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "late,two" })
+	s.restore(copied, nil)
+	holds(t, 2*time.Second, "both servers are kept", func() bool { return serverIDs(f) == "late,two" })
+	eventually(t, 2*time.Second, "only the server of the copy", func() bool { return serverIDs(f) == "two" })
+}
+
+// Guards against using the former server of a key whose entry another writer has replaced.
+func TestUnreadableEntryNamesNoServer(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	s.put("servers/two", serverTwo)
+	s.put("servers/new", serverNew)
+	f := start(t, s, noOtherConnection)
+	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
+	s.put("servers/new", `"odd"`)
+	eventually(t, time.Second, "the other server", func() bool { return serverIDs(f) == "two" })
+	s.put("servers/new", serverNew)
+	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
+}
+
 // Guards against a configuration that goes back because the copy has an older one, and
 // against a copy that counts as complete while it lacks a version that is in force: keys
 // that were revoked with it must not be confirmed.
 func TestConfigurationOfCopyDoesNotReplaceNewer(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore()
 	s.put("config", "4")
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -219,7 +219,7 @@
 	src := &fakeStore{state: state}
 	log := &lockedBuffer{}
 	recorder := events.NewRecorder("test", 1, log)
-	f := feed.New(src, src, recorder, func() time.Duration { return 0 })
+	f := feed.New(src, src, recorder, func(string) time.Duration { return 0 })
 	budgets := retry.NewServiceBudgets(0.2, 10*time.Second)
 	budgets.SetFixed(100, 100)
 	g := New(Config{Feed: f, Headers: testHeaders{}, Recorder: recorder, Metrics: NewMetrics(tally.NoopScope),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -115,8 +115,8 @@
 	p := &gatewayProcess{config: config, adapter: adapter, start: fleet.NewStartID()}
 	p.recorder = events.NewRecorder(fleet.ProcessID(config.Name), p.start, w)
 	p.metrics = metrics.New(map[string]string{"process": config.Name})
-	p.feed = feed.New(adapter.Source, adapter.Documents, p.recorder, func() time.Duration { return p.members.LongestStoreConnection() })
 	p.members = peers.NewMembers(p.self, config.Peers.Seeds, p.recorder)
+	p.feed = feed.New(adapter.Source, adapter.Documents, p.recorder, p.members.LongestStoreConnection)
 	registry := quarantine.NewRegistry()
 	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
 	p.retries = retry.NewServiceBudgets(config.Bounds.RetryRatio*retryShare, time.Duration(config.Bounds.RetryWindowS*float64(time.Second)))
@@ -147,11 +147,12 @@
 
 // self returns the description of this gateway that other gateways receive.
 func (p *gatewayProcess) self() peers.Peer {
+	history, connected := p.feed.Connection()
 	return peers.Peer{
 		Name: p.config.Name, Start: p.start, ControlAddress: p.config.Listen.Control, CallerAddress: p.config.Listen.Callers,
 		Zone: fleet.AvailabilityZone(p.config.Zone), Serving: p.gateway.Ready(),
 		Stale: !p.gateway.KeysUsable(), Processor: p.config.Limits.Processor,
-		StoreConnectedMS: p.feed.ConnectedFor().Milliseconds(),
+		StoreConnectedMS: connected.Milliseconds(), StoreHistory: history,
 	}
 }
 
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -205,15 +205,15 @@
 }
 
 // LongestStoreConnection returns the longest time for which one of the other gateways
-// has been connected to the store without interruption, as they recently reported; 0 if
-// none is connected.
-func (m *Members) LongestStoreConnection() time.Duration {
+// has been connected to a history of the store without interruption, as they recently
+// reported; 0 if none is connected to it.
+func (m *Members) LongestStoreConnection(history string) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	longest := time.Duration(0)
 	for _, x := range m.peers {
-		if x.alive && now.Sub(x.lastHello) <= lostAfter {
+		if x.alive && now.Sub(x.lastHello) <= lostAfter && x.StoreHistory == history {
 			longest = max(longest, time.Duration(x.StoreConnectedMS)*time.Millisecond)
 		}
 	}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -43,9 +43,11 @@
 	// Stale is true if the gateway has been disconnected from the store for so long
 	// that it cannot serve requests with keys.
 	Stale bool `cbor:"8,keyasint,omitempty"`
-	// StoreConnectedMS is how long the gateway has been connected to the store without
-	// interruption, in milliseconds; 0 if it is not connected.
-	StoreConnectedMS int64 `cbor:"9,keyasint,omitempty"`
+	// StoreConnectedMS is how long the gateway has been connected to StoreHistory, a
+	// history of the store, without interruption, in milliseconds; 0 if it is not
+	// connected.
+	StoreConnectedMS int64  `cbor:"9,keyasint,omitempty"`
+	StoreHistory     string `cbor:"10,keyasint,omitempty"`
 	// Processor is the fraction of a processor core that the gateway may use.
 	Processor float64 `cbor:"7,keyasint"`
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -186,13 +186,14 @@
 func TestStoreConnectionsOfSilentGatewaysAreIgnored(t *testing.T) {
 	is := is.New(t)
 	v := newTestMembers(peer("a", 1, 1))
-	is.Equal(v.LongestStoreConnection(), time.Duration(0))
+	is.Equal(v.LongestStoreConnection("h"), time.Duration(0))
 	for name, connected := range map[string]time.Duration{"b": 5 * time.Second, "c": 0} {
 		other := peer(name, 2, 1)
-		other.StoreConnectedMS = connected.Milliseconds()
+		other.StoreConnectedMS, other.StoreHistory = connected.Milliseconds(), "h"
 		v.HandleHello(&Hello{From: other})
 	}
-	is.Equal(v.LongestStoreConnection(), 5*time.Second)
+	is.Equal(v.LongestStoreConnection("h"), 5*time.Second)
+	is.Equal(v.LongestStoreConnection("later"), time.Duration(0)) // the store was restored since
 	v.now = v.now.Add(lostAfter + time.Millisecond)
-	is.Equal(v.LongestStoreConnection(), time.Duration(0))
+	is.Equal(v.LongestStoreConnection("h"), time.Duration(0))
 }
