feed: a copy that lacks an accepted configuration is not confirmed

What callers would see: a request with a revoked key runs, or a known route gets 404, while the restored store still has the older configuration and the operator has not written the newest one again. Each answer of the restored store counted as a confirmation of the copy, and a process that started then put the older configuration in force although all others had a newer one. A change that got the version of a lost one was never taken.

Cause: being up to date was judged by the age of the last answer alone, of whatever history, and a change only by its version.

- The operator's version is the order that holds in every history; a lower one never replaces a higher one.
The same version with another content is taken if it comes later in the store.
- A copy is not confirmed while the store has a lower version than is in force, or another gateway has a higher one in force, for 10 s at most.
Hellos carry the version.
Keys and 404 depend on the age as before, so callers are sent elsewhere.
- A gateway that starts confirms its first copy only when it has heard another gateway, at most 0.5 s, and a gateway answers the first Hello of a start at once, so that this usually takes some milliseconds.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -95,7 +95,7 @@
 // Snapshot is an immutable view of the published configuration and servers at one
 // point in time.
 type Snapshot struct {
-	// Configuration is nil until the first one has been read.
+	// Configuration is nil until the first one has been read and confirmed.
 	Configuration *deployment.Configuration
 	// Servers holds the registered backend servers by service name.
 	Servers map[string][]*deployment.Server
@@ -107,18 +107,19 @@
 	documents Documents
 	recorder  *events.Recorder
 	snapshot  atomic.Pointer[Snapshot]
-	// confirmed is the latest time, in nanoseconds since start, at which the copy is
-	// known to have been complete; -1 before the first read. connectedSince is the
-	// time, in nanoseconds since start, since which the store has responded from
-	// connectedHistory without an outage of more than outageAfter.
-	confirmed, connectedSince atomic.Int64
-	connectedHistory          atomic.Pointer[string]
-	start                     time.Time
-	otherConnectedFor         func(history string) time.Duration
-	changed                   chan struct{}
+	others    Others
+	start     time.Time
+	// The times are in nanoseconds since start. confirmed is the latest time at which the
+	// copy is known to have been complete, and responded the latest time at which the
+	// store is known to have responded; -1 before the first read. connectedSince is the
+	// time since which the store has responded from connectedHistory without an outage of
+	// more than outageAfter.
+	confirmed, responded, connectedSince atomic.Int64
+	connectedHistory                     atomic.Pointer[string]
+	changed                              chan struct{}
 
 	servers       *servers
-	configuration *deployment.Configuration
+	configuration *configuration
 	disconnected  bool
 	// position is that of the last response of the store, and history the number of
 	// histories that this process has seen, the current one included.
@@ -126,16 +127,27 @@
 	history  int
 }
 
-// New returns an empty feed; Run fills it. otherConnectedFor returns the longest time
-// for which another process has been connected to a history of the store without
-// interruption, 0 if no other process is known to be connected to it.
-func New(source Source, documents Documents, recorder *events.Recorder, otherConnectedFor func(history string) time.Duration) *Feed {
+// Others tells what other processes know. It is safe for concurrent use.
+type Others interface {
+	// LongestStoreConnection returns the longest time for which another process has been
+	// connected to a history of the store without interruption, 0 if none is known to be
+	// connected to it.
+	LongestStoreConnection(history string) time.Duration
+	// HighestConfiguration returns the highest version of the configuration that another
+	// process has in force, 0 if there is none. known is false for as long as another
+	// process may not have been heard yet.
+	HighestConfiguration() (version int64, known bool)
+}
+
+// New returns an empty feed; Run fills it.
+func New(source Source, documents Documents, recorder *events.Recorder, others Others) *Feed {
 	f := &Feed{
-		source: source, documents: documents, recorder: recorder, start: time.Now(), otherConnectedFor: otherConnectedFor,
+		source: source, documents: documents, recorder: recorder, start: time.Now(), others: others,
 		changed: make(chan struct{}, 1),
-		servers: newServers(documents, recorder),
+		servers: newServers(documents, recorder), configuration: newConfiguration(documents, recorder),
 	}
 	f.confirmed.Store(-1)
+	f.responded.Store(-1)
 	f.snapshot.Store(&Snapshot{})
 	return f
 }
@@ -146,10 +158,16 @@
 // Changed returns a channel that receives a value after the snapshot has changed.
 func (f *Feed) Changed() <-chan struct{} { return f.changed }
 
-// Age returns the time since the copy was last known to be complete, or 1<<62 ns
-// before the first successful read.
-func (f *Feed) Age() time.Duration {
-	at := f.confirmed.Load()
+// Age returns the time since the copy was last known to be complete, or 1<<62 ns if it
+// never was. A copy that lacks a version of the configuration that was in force before a
+// restore of the store is not complete.
+func (f *Feed) Age() time.Duration { return f.since(&f.confirmed) }
+
+// silence returns the time since the store last responded, or 1<<62 ns if it never did.
+func (f *Feed) silence() time.Duration { return f.since(&f.responded) }
+
+func (f *Feed) since(event *atomic.Int64) time.Duration {
+	at := event.Load()
 	if at < 0 {
 		return 1 << 62
 	}
@@ -163,16 +181,19 @@
 	if h := f.connectedHistory.Load(); h != nil {
 		history = *h
 	}
-	if f.Age() > outageAfter {
+	if f.silence() > outageAfter {
 		return history, 0
 	}
 	return history, time.Since(f.start) - time.Duration(f.connectedSince.Load())
 }
 
-// confirm records that the copy was complete at the given time.
+// confirm records that the store responded with everything it had at the given time, and
+// that the copy was complete unless an accepted version of the configuration is known to be
+// missing.
 func (f *Feed) confirm(at time.Time) {
-	n := at.Sub(f.start).Nanoseconds()
-	if n > f.confirmed.Load() {
+	n := max(at.Sub(f.start).Nanoseconds(), f.responded.Load())
+	f.responded.Store(n)
+	if !f.configuration.behind(f.others.HighestConfiguration()) {
 		f.confirmed.Store(n)
 	}
 }
@@ -248,27 +269,42 @@
 		f.observe("read", Position{History: history, Revision: at.Revision})
 		return Position{}, ErrHistoryChanged
 	}
-	outage := f.Age() > outageAfter
+	outage := f.silence() > outageAfter
 	if outage || f.history != f.servers.history {
 		f.connectedHistory.Store(&at.History)
 		f.connectedSince.Store(asked.Sub(f.start).Nanoseconds())
 	}
 	f.logReconnected()
 	f.servers.replace(items, f.history, outage)
-	f.servers.expire(f.otherConnectedFor(at.History))
+	f.servers.expire(f.others.LongestStoreConnection(at.History))
 	if found {
-		f.applyConfiguration(configuration)
+		f.configuration.apply(configuration, f.history)
+	} else {
+		f.configuration.stored = 0
 	}
+	f.awaitOthers(ctx)
 	f.confirm(asked)
 	f.publish()
 	return at, nil
 }
 
+// awaitOthers waits before the first confirmation until other processes have been heard:
+// the store may have been restored and this process would not know.
+func (f *Feed) awaitOthers(ctx context.Context) {
+	const poll = 5 * time.Millisecond
+	for ctx.Err() == nil && f.confirmed.Load() < 0 {
+		if _, known := f.others.HighestConfiguration(); known {
+			return
+		}
+		sleep(ctx, poll)
+	}
+}
+
 // follow applies changes until a watch fails or ctx is done. It reports whether any watch
 // succeeded.
 func (f *Feed) follow(ctx context.Context, at Position) (followed bool, err error) {
 	for ctx.Err() == nil {
-		next, changed, err := f.watchOnce(ctx, at, f.servers.nextWait())
+		next, changed, err := f.watchOnce(ctx, at, f.nextWait())
 		if err != nil {
 			return followed, err
 		}
@@ -280,6 +316,17 @@
 	return followed, ctx.Err()
 }
 
+// nextWait returns how long the next watch waits. It is short until the copy has been
+// confirmed: other processes may say any moment that it is complete.
+func (f *Feed) nextWait() time.Duration {
+	const unconfirmedWatchWait = watchWait / 8
+	wait := f.servers.nextWait()
+	if f.confirmed.Load() < 0 {
+		wait = min(wait, unconfirmedWatchWait)
+	}
+	return wait
+}
+
 // watchOnce makes one watch call and applies its changes. It returns the position to
 // watch from next and whether there were changes, or ErrHistoryChanged if the response
 // does not continue from the given position.
@@ -302,8 +349,9 @@
 		// The store ended the wait without a change: the copy was complete until then.
 		asked = asked.Add(wait)
 	}
+	unconfirmed := f.confirmed.Load() < 0
 	f.confirm(asked)
-	if f.servers.expire(f.otherConnectedFor(next.History)) || len(changes) > 0 {
+	if f.servers.expire(f.others.LongestStoreConnection(next.History)) || len(changes) > 0 || unconfirmed {
 		f.publish()
 	}
 	return next, len(changes) > 0, nil
@@ -314,7 +362,7 @@
 	switch {
 	case i.Key == f.documents.ConfigurationKey():
 		if !i.Deleted {
-			f.applyConfiguration(i)
+			f.configuration.apply(i, f.history)
 		}
 	case !strings.HasPrefix(i.Key, f.documents.ServersPrefix()):
 	case i.Deleted:
@@ -324,24 +372,12 @@
 	}
 }
 
-// applyConfiguration applies a configuration that is readable and newer than the
-// current one.
-func (f *Feed) applyConfiguration(i Item) {
-	c, err := f.documents.Configuration(i.Value)
-	if err != nil {
-		f.recorder.Record("configuration_unreadable", "", events.F("revision", i.Revision), events.F("error", err.Error()))
-		return
-	}
-	if f.configuration != nil && c.Version <= f.configuration.Version {
-		return
-	}
-	f.configuration = c
-	f.recorder.Record("configuration_taken", "", events.F("version", c.Version), events.F("revision", i.Revision))
-}
-
 // publish replaces the snapshot and signals the change.
 func (f *Feed) publish() {
-	s := &Snapshot{Configuration: f.configuration, Servers: map[string][]*deployment.Server{}}
+	s := &Snapshot{Servers: map[string][]*deployment.Server{}}
+	if f.confirmed.Load() >= 0 {
+		s.Configuration = f.configuration.inForce
+	}
 	for _, server := range f.servers.newestByAddress() {
 		s.Servers[server.Service] = append(s.Servers[server.Service], server)
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -171,17 +171,37 @@
 	serverTwo = `{"ID":"two","Service":"m","Address":"192.0.2.2:80","StartMS":1}`
 )
 
-// noOtherConnection reports that no other process is connected to the store.
-func noOtherConnection(string) time.Duration { return 0 }
+// others is what other processes know, in tests.
+type others struct {
+	connectedFor  func(history string) time.Duration
+	configuration func() (int64, bool)
+}
+
+func (o others) LongestStoreConnection(history string) time.Duration {
+	if o.connectedFor == nil {
+		return 0
+	}
+	return o.connectedFor(history)
+}
+
+func (o others) HighestConfiguration() (int64, bool) {
+	if o.configuration == nil {
+		return 0, true
+	}
+	return o.configuration()
+}
+
+// alone is a process without others.
+var alone = others{}
 
 func connectedFor(f *Feed) time.Duration {
 	_, connected := f.Connection()
 	return connected
 }
 
-func start(t *testing.T, s Source, otherConnectedFor func(string) time.Duration) *Feed {
+func start(t *testing.T, s Source, o Others) *Feed {
 	t.Helper()
-	f := New(s, documents{}, events.NewRecorder("test", 1, io.Discard), otherConnectedFor)
+	f := New(s, documents{}, events.NewRecorder("test", 1, io.Discard), o)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
@@ -219,7 +239,7 @@
 	s.put("servers/old", serverOld)
 	s.put("servers/new", serverNew)
 	s.put("servers/two", serverTwo)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the two newest servers", func() bool { return serverIDs(f) == "new,two" })
 }
 
@@ -230,7 +250,7 @@
 	s := newStore()
 	s.put("servers/new", serverNew)
 	s.put("servers/two", serverTwo)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 	s.set(func(s *store) { s.down = true })
 	time.Sleep(outageAfter + 300*time.Millisecond)
@@ -261,7 +281,7 @@
 			s := newStore()
 			s.put("servers/new", serverNew)
 			s.put("servers/two", serverTwo)
-			f := start(t, s, func(string) time.Duration { return x.connectedFor })
+			f := start(t, s, others{connectedFor: func(string) time.Duration { return x.connectedFor }})
 			eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 			s.set(func(s *store) { s.down = true })
 			time.Sleep(outageAfter + 300*time.Millisecond)
@@ -279,7 +299,7 @@
 	is := is.New(t)
 	s := newStore()
 	s.put("config", "1")
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "a connection", func() bool { return connectedFor(f) > 0 })
 	s.set(func(s *store) { s.down = true })
 	time.Sleep(outageAfter + 200*time.Millisecond)
@@ -295,7 +315,7 @@
 	is := is.New(t)
 	s := newStore()
 	s.put("config", "5")
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	version := func() int64 {
 		if c := f.Snapshot().Configuration; c != nil {
 			return c.Version
@@ -318,7 +338,7 @@
 	is := is.New(t)
 	s := newStore()
 	s.put("servers/two", serverTwo)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the server", func() bool { return serverIDs(f) == "two" })
 	s.put("servers/x", `\xff not readable`)
 	s.put("other/key", "1")
@@ -333,7 +353,7 @@
 	is := is.New(t)
 	s := newStore()
 	s.put("config", "1")
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the configuration", func() bool { return f.Snapshot().Configuration != nil })
 	s.set(func(s *store) { s.down = true })
 	began := time.Now()
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 	copied := s.copy()
 	s.put("config", "2")
 	s.put("config", "3")
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "version 3", func() bool { return version(f) == 3 })
 	s.restore(copied, func() {
 		s.write("config", "4")
@@ -94,7 +95,7 @@
 			s.write("config", "3")
 			s.write("servers/late", serverLate)
 		})
-	}}, noOtherConnection)
+	}}, alone)
 	eventually(t, restoreBound, "version 3", func() bool { return version(f) == 3 })
 	eventually(t, restoreBound, "the servers of the new history", func() bool { return serverIDs(f) == "late" })
 }
@@ -108,7 +109,7 @@
 	s.put("servers/two", serverTwo)
 	copied := s.copy()
 	s.put("servers/late", serverLate)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "late,two" })
 	s.fail(200 * time.Millisecond)
 	s.restore(copied, nil)
@@ -124,7 +125,7 @@
 	s.put("servers/two", serverTwo)
 	copied := s.copy()
 	s.put("servers/late", serverLate)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "late,two" })
 	s.fail(200 * time.Millisecond)
 	s.restore(copied, nil)
@@ -139,7 +140,7 @@
 	s.put("servers/new", serverNew)
 	copied := s.copy()
 	s.put("servers/new", serverNewLeaving)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "the leaving server", func() bool { return serverIDs(f) == "new" && usable(f) == "" })
 	s.fail(200 * time.Millisecond)
 	s.restore(copied, nil)
@@ -157,7 +158,7 @@
 			s := newStore()
 			s.put("servers/two", serverTwo)
 			s.put("servers/new", serverNew)
-			f := start(t, s, noOtherConnection)
+			f := start(t, s, alone)
 			eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 			copied := s.copy()
 			s.remove("servers/new")
@@ -183,7 +184,7 @@
 	s := newStore()
 	s.put("servers/two", serverTwo)
 	s.put("servers/new", serverNew)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 	copied := s.copy()
 	s.remove("servers/new")
@@ -204,12 +205,12 @@
 	s.put("servers/two", serverTwo)
 	copied := s.copy()
 	s.put("servers/late", serverLate)
-	f := start(t, s, func(history string) time.Duration {
+	f := start(t, s, others{connectedFor: func(history string) time.Duration {
 		if history == "0" {
 			return time.Minute
 		}
 		return 0
-	})
+	}})
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "late,two" })
 	s.restore(copied, nil)
 	holds(t, 2*time.Second, "both servers are kept", func() bool { return serverIDs(f) == "late,two" })
@@ -222,7 +223,7 @@
 	s := newStore()
 	s.put("servers/two", serverTwo)
 	s.put("servers/new", serverNew)
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 	s.put("servers/new", `"odd"`)
 	eventually(t, time.Second, "the other server", func() bool { return serverIDs(f) == "two" })
@@ -240,7 +241,7 @@
 	s.put("config", "4")
 	copied := s.copy()
 	s.put("config", "9")
-	f := start(t, s, noOtherConnection)
+	f := start(t, s, alone)
 	eventually(t, time.Second, "version 9", func() bool { return version(f) == 9 })
 	s.fail(200 * time.Millisecond)
 	restored := time.Now()
@@ -251,3 +252,51 @@
 	eventually(t, time.Second, "the copy is complete again", func() bool { return f.Age() < time.Second })
 	is.Equal(version(f), int64(9))
 }
+
+// Guards against a process that starts while the store has an older configuration than the
+// other processes: it would accept keys that were revoked.
+func TestStartingProcessWaitsForConfigurationOfOthers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	var heard atomic.Bool
+	s := newStore()
+	s.put("config", "4")
+	f := start(t, s, others{configuration: func() (int64, bool) {
+		if !heard.Load() {
+			return 0, false
+		}
+		return 9, true
+	}})
+	holds(t, 100*time.Millisecond, "nothing is in force before others were heard", func() bool { return version(f) == 0 })
+	heard.Store(true)
+	holds(t, time.Second, "the older version is not in force", func() bool { return version(f) == 0 })
+	s.put("config", "9")
+	eventually(t, time.Second, "version 9", func() bool { return version(f) == 9 })
+	is.True(f.Age() < time.Second)
+}
+
+// Guards against a process that never serves because what others say never comes.
+func TestVersionThatDoesNotComeIsAwaitedForLimitedTime(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	s.put("config", "4")
+	f := start(t, s, others{configuration: func() (int64, bool) { return 9, true }})
+	eventually(t, rewritePeriod+time.Second, "version 4", func() bool { return version(f) == 4 })
+}
+
+// Guards against ignoring a change because a change that was lost had the same version.
+func TestChangeWithVersionOfLostChangeIsTaken(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	s.put("config", "4")
+	copied := s.copy()
+	s.put("config", "9")
+	f := start(t, s, alone)
+	eventually(t, time.Second, "version 9", func() bool { return version(f) == 9 })
+	first := f.Snapshot().Configuration
+	s.fail(100 * time.Millisecond)
+	s.restore(copied, nil)
+	time.Sleep(time.Second)
+	s.put("config", "9 ") // the same version with another content
+	eventually(t, time.Second, "the other content", func() bool { return f.Snapshot().Configuration != first })
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -134,6 +134,12 @@
 	return feed.Item{Key: "config", Value: []byte("c")}, true, "", s.err()
 }
 
+// alone is a process that knows of no other.
+type alone struct{}
+
+func (alone) LongestStoreConnection(string) time.Duration { return 0 }
+func (alone) HighestConfiguration() (int64, bool)         { return 0, true }
+
 func (s *fakeStore) err() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,7 +225,7 @@
 	src := &fakeStore{state: state}
 	log := &lockedBuffer{}
 	recorder := events.NewRecorder("test", 1, log)
-	f := feed.New(src, src, recorder, func(string) time.Duration { return 0 })
+	f := feed.New(src, src, recorder, alone{})
 	budgets := retry.NewServiceBudgets(0.2, 10*time.Second)
 	budgets.SetFixed(100, 100)
 	g := New(Config{Feed: f, Headers: testHeaders{}, Recorder: recorder, Metrics: NewMetrics(tally.NoopScope),
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -116,7 +116,7 @@
 	p.recorder = events.NewRecorder(fleet.ProcessID(config.Name), p.start, w)
 	p.metrics = metrics.New(map[string]string{"process": config.Name})
 	p.members = peers.NewMembers(p.self, config.Peers.Seeds, p.recorder)
-	p.feed = feed.New(adapter.Source, adapter.Documents, p.recorder, p.members.LongestStoreConnection)
+	p.feed = feed.New(adapter.Source, adapter.Documents, p.recorder, p.members)
 	registry := quarantine.NewRegistry()
 	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
 	p.retries = retry.NewServiceBudgets(config.Bounds.RetryRatio*retryShare, time.Duration(config.Bounds.RetryWindowS*float64(time.Second)))
@@ -148,11 +148,15 @@
 // self returns the description of this gateway that other gateways receive.
 func (p *gatewayProcess) self() peers.Peer {
 	history, connected := p.feed.Connection()
+	var version int64
+	if c := p.feed.Snapshot().Configuration; c != nil {
+		version = c.Version
+	}
 	return peers.Peer{
 		Name: p.config.Name, Start: p.start, ControlAddress: p.config.Listen.Control, CallerAddress: p.config.Listen.Callers,
 		Zone: fleet.AvailabilityZone(p.config.Zone), Serving: p.gateway.Ready(),
 		Stale: !p.gateway.KeysUsable(), Processor: p.config.Limits.Processor,
-		StoreConnectedMS: connected.Milliseconds(), StoreHistory: history,
+		StoreConnectedMS: connected.Milliseconds(), StoreHistory: history, ConfigurationVersion: version,
 	}
 }
 
@@ -271,10 +275,15 @@
 
 func (p *gatewayProcess) sendHellos() {
 	to, hello := p.members.Tick()
-	hello.Suspicions = p.suspicions.Digest()
-	hello.Agents = p.retryExchange.HeardAgents()
 	p.gateway.SetGateways(p.members.Count())
 	p.setFixedRetries()
+	p.sendHello(hello, to...)
+}
+
+// sendHello completes a Hello and sends it.
+func (p *gatewayProcess) sendHello(hello *peers.Hello, to ...string) {
+	hello.Suspicions = p.suspicions.Digest()
+	hello.Agents = p.retryExchange.HeardAgents()
 	for _, address := range to {
 		p.send(address, hello)
 	}
@@ -319,7 +328,9 @@
 func (p *gatewayProcess) receive(m peers.Message) {
 	switch m := m.(type) {
 	case *peers.Hello:
-		p.members.HandleHello(m)
+		if p.members.HandleHello(m) {
+			p.sendHello(&peers.Hello{From: p.self()}, m.From.ControlAddress)
+		}
 		p.suspicions.HandleHello(m)
 		p.retryExchange.HandleHello(m)
 	case *peers.Suspicions:
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -25,6 +25,9 @@
 	// controller that has sent such messages counts as lost. A controller sends one
 	// every 100 ms, and a group that it holds does not run until the hold ends.
 	controllerLostAfter = 400 * time.Millisecond
+	// firstHelloTimeout is the time after the start within which another gateway that runs
+	// has answered the first Hello, or has sent one of its own.
+	firstHelloTimeout = HelloInterval + 100*time.Millisecond
 	// settleTime is the time after the start in which some gateways may not have been
 	// discovered yet.
 	settleTime = 4 * time.Second
@@ -69,14 +72,15 @@
 	m.seeds = seeds
 }
 
-// HandleHello updates the view with a message of another gateway.
-func (m *Members) HandleHello(h *Hello) {
+// HandleHello updates the view with a message of another gateway. It reports whether this
+// is the first one of the gateway's start, which is answered with a Hello at once.
+func (m *Members) HandleHello(h *Hello) (first bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	ownAddress := m.self().ControlAddress
 	if h.From.ControlAddress == ownAddress {
-		return
+		return false
 	}
 	x := m.peers[h.From.ControlAddress]
 	if x == nil {
@@ -86,12 +90,14 @@
 	if !x.alive || x.Start != h.From.Start || x.Serving != h.From.Serving {
 		m.recorder.Record("gateway_seen", "", events.F("gateway", h.From.Name), events.F("address", h.From.ControlAddress), events.F("serving", h.From.Serving))
 	}
+	first = x.lastHello.IsZero() || x.Start != h.From.Start
 	x.Peer, x.lastHello, x.alive = h.From, now, true
 	for _, address := range h.Known {
 		if address != ownAddress && m.peers[address] == nil {
 			m.peers[address] = &member{Peer: Peer{ControlAddress: address}, added: now}
 		}
 	}
+	return first
 }
 
 // Tick marks silent gateways as lost and returns the Hello to send and the control
@@ -220,6 +226,22 @@
 	return longest
 }
 
+// HighestConfiguration returns the highest version of the configuration that one of the
+// other gateways has in force, 0 if there is none. known is false shortly after the start
+// while none of them has been heard.
+func (m *Members) HighestConfiguration() (version int64, known bool) {
+	n, otherSeeds := m.heard()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	for _, x := range m.peers {
+		if x.alive && now.Sub(x.lastHello) <= lostAfter {
+			version = max(version, x.ConfigurationVersion)
+		}
+	}
+	return version, n > 1 || !otherSeeds || now.Sub(m.started) >= firstHelloTimeout
+}
+
 // RecordController records that the gateway at a control address sent a message about a
 // group, as its controller.
 func (m *Members) RecordController(control string) {
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -48,6 +48,9 @@
 	// connected.
 	StoreConnectedMS int64  `cbor:"9,keyasint,omitempty"`
 	StoreHistory     string `cbor:"10,keyasint,omitempty"`
+	// ConfigurationVersion is the version of the configuration that the gateway has in
+	// force, 0 if it has none.
+	ConfigurationVersion int64 `cbor:"11,keyasint,omitempty"`
 	// Processor is the fraction of a processor core that the gateway may use.
 	Processor float64 `cbor:"7,keyasint"`
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -197,3 +197,32 @@
 	v.now = v.now.Add(lostAfter + time.Millisecond)
 	is.Equal(v.LongestStoreConnection("h"), time.Duration(0))
 }
+
+// Guards against a gateway that starts with an older configuration than the others have in
+// force because it does not know of them, and against one that waits for others for ever.
+func TestStartingGatewayLearnsConfigurationOfOthers(t *testing.T) {
+	is := is.New(t)
+	v := newTestMembers(peer("a", 1, 1))
+	v.SetSeeds([]string{"b"})
+	_, known := v.HighestConfiguration()
+	is.True(!known)
+	other := peer("b", 2, 1)
+	other.ConfigurationVersion = 9
+	is.True(v.HandleHello(&Hello{From: other})) // answered at once
+	is.True(!v.HandleHello(&Hello{From: other}))
+	version, known := v.HighestConfiguration()
+	is.True(known)
+	is.Equal(version, int64(9))
+	other.Start++
+	is.True(v.HandleHello(&Hello{From: other}))
+	v.now = v.now.Add(lostAfter + time.Millisecond)
+	version, known = v.HighestConfiguration()
+	is.True(known)
+	is.Equal(version, int64(0)) // a silent gateway may have been replaced
+
+	lonely := newTestMembers(peer("a", 1, 1))
+	lonely.SetSeeds([]string{"b"})
+	lonely.now = lonely.now.Add(firstHelloTimeout)
+	_, known = lonely.HighestConfiguration()
+	is.True(known)
+}
