config: order documents by history and revision

What operators would see: after the platform was restored from a copy, no change takes effect on any process of the fleet until the platform's revisions have passed those from before the restore, and the VM list stands still as well.

Cause: documents, deletions, listings and digests were ordered by the highest revision that any process had seen, which is an order within one history of the platform.

The platform's protocol names the history of a response and of each document. A revision number now has the history in its high bits, so that merging stays a maximum. A watch that answers from another history leads to a full listing. A listing deletes what it lacks only up to the copy's revision for earlier histories: what was written later was lost and stays in force until it is written again. The stand-in can be restored.

--- a/integration/config_change_test.go
+++ b/integration/config_change_test.go
@@ -117,6 +117,7 @@
 		{"frozen", (*configurationFleet).frozenProcesses},
 		{"zone_cut", (*configurationFleet).zoneCut},
 		{"readers_killed", (*configurationFleet).readersKilled},
+		{"restored", (*configurationFleet).platformRestored},
 		{"platform_lost_its_state", (*configurationFleet).platformStale},
 	}
 	for _, s := range schedules {
@@ -150,9 +151,12 @@
 	began := time.Now()
 	revision, err := c.fleet.Delete(c.ctx, "models/deleted")
 	c.must(err)
-	c.await(schedule, "models/deleted", began, c.sampler.processes, func(d config.DocumentStatus) bool {
-		return d.InForce >= revision && d.Deleted
-	})
+	c.await(schedule, "models/deleted", began, c.sampler.processes, deletedAt(revision))
+}
+
+// deletedAt reports whether a deletion of at least that revision is in force.
+func deletedAt(revision uint64) func(config.DocumentStatus) bool {
+	return func(d config.DocumentStatus) bool { return d.InForce >= revision && d.Deleted }
 }
 
 // concurrentOperators publishes the same documents from two places concurrently, so
@@ -322,6 +326,48 @@
 	}
 }
 
+// platformRestored restores the platform from older copies, again and again, while processes
+// are frozen or start with nothing. What a copy lacks stays in force, what it has again does
+// not return, and changes in the new history take effect although their revisions were
+// assigned before.
+func (c *configurationFleet) platformRestored(schedule string) {
+	c.await(schedule, "models/dropped", time.Now(), c.sampler.processes, atLeast(c.publish("models/dropped")))
+	for range amount(2, 6) {
+		c.await(schedule, "models/changing", time.Now(), c.sampler.processes, atLeast(c.publish("models/changing")))
+		copied := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		deleted, err := c.fleet.Delete(c.ctx, "models/dropped")
+		c.must(err)
+		c.await(schedule, "models/dropped", time.Now(), c.sampler.processes, deletedAt(deleted))
+		held := c.publish("models/changing")
+		c.await(schedule, "models/changing", time.Now(), c.sampler.processes, atLeast(held))
+		c.must(c.fleet.Entries[1].Freeze())
+		c.must(c.fleet.Agents[0].Freeze())
+		lost, err := c.fleet.RestorePlatform(c.ctx, time.Since(copied)-50*time.Millisecond)
+		c.must(err)
+		if len(lost) != 2 {
+			c.Fatalf("%s: the copy lacks %d documents, want 2", schedule, len(lost))
+		}
+		c.must(c.fleet.Entries[2].Restart())
+		running := c.sampler.selectProcesses(func(name string) bool {
+			return name != c.fleet.Entries[1].Name && name != c.fleet.Agents[0].Name
+		})
+		time.Sleep(1500 * time.Millisecond)
+		c.await(schedule+"_lost", "models/changing", time.Now(), running, atLeast(held))
+		c.await(schedule+"_lost", "models/dropped", time.Now(), running, deletedAt(deleted))
+		began := time.Now()
+		revision := c.publish("models/changing")
+		c.await(schedule, "models/changing", began, running, atLeast(revision))
+		c.must(c.fleet.Entries[1].Unfreeze())
+		c.must(c.fleet.Agents[0].Unfreeze())
+		c.await(schedule+"_woken", "models/changing", time.Now(), c.sampler.processes, atLeast(revision))
+		restored, err := c.fleet.Delete(c.ctx, "models/dropped")
+		c.must(err)
+		c.await(schedule, "models/dropped", time.Now(), c.sampler.processes, deletedAt(restored))
+		c.await(schedule, "models/dropped", time.Now(), c.sampler.processes, atLeast(c.publish("models/dropped")))
+	}
+}
+
 // platformStale restarts the stand-in, which then answers with no documents and
 // low revisions: no process may change its configuration, not even a restarted one.
 func (c *configurationFleet) platformStale(schedule string) {
--- a/integration/harness/control.go
+++ b/integration/harness/control.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/standin"
 )
 
@@ -23,7 +24,24 @@
 func (f *Fleet) Publish(ctx context.Context, name, body string) (uint64, error) {
 	var d standin.Document
 	err := send(ctx, http.MethodPost, f.PlatformURL+"/control/documents", standin.Document{Name: name, Body: body}, &d)
-	return d.Revision, err
+	return revision(d, err)
+}
+
+// revision returns the revision of a written document as the processes number it.
+func revision(d standin.Document, err error) (uint64, error) {
+	if err != nil {
+		return 0, err
+	}
+	return config.Revision(d.History, d.Revision)
+}
+
+// RestorePlatform restores the platform from a copy that was made age ago, and returns the
+// last lost write of each document.
+func (f *Fleet) RestorePlatform(ctx context.Context, age time.Duration) (lost []standin.Document, err error) {
+	request := struct {
+		AgeMS int64 `json:"age_ms"`
+	}{age.Milliseconds()}
+	return lost, send(ctx, http.MethodPost, f.PlatformURL+"/control/restore", request, &lost)
 }
 
 // Delete deletes a document on the platform and returns the tombstone's
@@ -31,7 +49,7 @@
 func (f *Fleet) Delete(ctx context.Context, name string) (uint64, error) {
 	var d standin.Document
 	err := send(ctx, http.MethodDelete, f.PlatformURL+"/control/documents/"+name, nil, &d)
-	return d.Revision, err
+	return revision(d, err)
 }
 
 // SetVMs replaces the platform's VM list.
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -15,15 +15,15 @@
 	changes []wire.DocumentOffer
 	// newDocuments holds the new revisions to push to peers. Large ones are listed
 	// in offers instead.
-	newDocuments   []wire.Document
-	offers         []wire.DocumentOffer
-	listedRevision uint64
+	newDocuments []wire.Document
+	offers       []wire.DocumentOffer
+	listings     listings
 	// highestRevision is the highest platform revision among the merged documents.
 	highestRevision uint64
 }
 
 func (s *Store) newMerge() *merge {
-	return &merge{store: s, records: map[string]*record{}, listedRevision: s.listedRevision}
+	return &merge{store: s, records: map[string]*record{}, listings: s.listings}
 }
 
 // record returns the working copy of a record. Only merges write to the store,
@@ -35,8 +35,8 @@
 	r := &record{}
 	if kept, ok := m.store.records[name]; ok {
 		*r = *kept
-	} else if name != VMListDocument && m.listedRevision > 0 {
-		r.recordAbsence(name, m.listedRevision)
+	} else if name != VMListDocument {
+		r.lackedBy = m.listings
 	}
 	m.records[name] = r
 	return r
@@ -53,6 +53,7 @@
 		m.highestRevision = max(m.highestRevision, d.Revision)
 	}
 	r := m.record(d.Name)
+	r.applyAbsences(d.Name, historyOf(d.Revision))
 	if !r.needs(d) {
 		return
 	}
@@ -82,19 +83,19 @@
 	m.newDocuments = m.newDocuments[:last]
 }
 
-// addAbsent records which known documents a full listing lacks. listedRevision
-// covers documents that become known later: they were absent from it too.
-func (m *merge) addAbsent(present map[string]bool, revision uint64) {
+// addAbsent records which known documents a full listing lacks. The listing covers documents
+// that become known later: they were absent from it too.
+func (m *merge) addAbsent(present map[string]bool, l listing) {
 	for _, name := range m.store.names() {
 		if present[name] {
 			continue
 		}
-		if r := m.record(name); r.recordAbsence(name, revision) {
-			m.changed(wire.Document{Name: name, Revision: revision, Deleted: true})
+		if r := m.record(name); r.recordAbsence(name, l) {
+			m.changed(wire.Document{Name: name, Revision: r.good.number, Deleted: true})
 		}
 	}
-	m.listedRevision = max(m.listedRevision, revision)
-	m.highestRevision = max(m.highestRevision, revision)
+	m.listings = m.listings.with(l)
+	m.highestRevision = max(m.highestRevision, l.revision)
 }
 
 // finish puts the changes in force and returns the new documents to push to peers.
@@ -133,7 +134,7 @@
 		s.hash += r.hash(name)
 		s.records[name] = r
 	}
-	s.listedRevision = m.listedRevision
+	s.listings = m.listings
 	s.revision = max(s.revision, storeRevision, m.highestRevision)
 }
 
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -36,10 +36,28 @@
 
 // documentsResponse is the platform's response to a listing or a watch.
 type documentsResponse struct {
-	Revision  uint64
-	documents []namedRevision
+	// Revision is the platform's revision in its History.
+	Revision, History uint64
+	// HistoryStart is the revision of the copy with which the history began.
+	HistoryStart uint64
+	documents    []namedRevision
 }
 
+// platformDocument is a document with the history in which it was written.
+type platformDocument struct {
+	wire.Document
+	History uint64 `json:"history"`
+}
+
+// check returns an error if a number is out of range.
+func (a *documentsResponse) check() error {
+	_, err := Revision(a.History, max(a.Revision, a.HistoryStart))
+	return err
+}
+
+// position returns the platform's revision as a combined number.
+func (a *documentsResponse) position() uint64 { return a.History<<numberBits | a.Revision }
+
 // namedRevision is a document whose body is compressed if it is large, so a listing
 // is never held in memory uncompressed as a whole.
 type namedRevision struct {
@@ -72,6 +90,10 @@
 		switch key {
 		case "revision":
 			err = d.Decode(&a.Revision)
+		case "history":
+			err = d.Decode(&a.History)
+		case "history_start":
+			err = d.Decode(&a.HistoryStart)
 		case "documents":
 			err = a.decodeDocuments(d)
 		default:
@@ -81,7 +103,10 @@
 			return err
 		}
 	}
-	return expectDelim(d, json.Delim('}'))
+	if err := expectDelim(d, json.Delim('}')); err != nil {
+		return err
+	}
+	return a.check()
 }
 
 func (a *documentsResponse) decodeDocuments(d *json.Decoder) error {
@@ -93,11 +118,15 @@
 		return fmt.Errorf("documents: got %v, want a list", token)
 	}
 	for d.More() {
-		var document wire.Document
-		if err := d.Decode(&document); err != nil {
+		var p platformDocument
+		if err := d.Decode(&p); err != nil {
+			return err
+		}
+		document, err := truncateBody(p.Document), error(nil)
+		if document.Revision, err = Revision(p.History, p.Revision); err != nil {
 			return err
 		}
-		a.documents = append(a.documents, namedRevision{document.Name, newRevision(truncateBody(document))})
+		a.documents = append(a.documents, namedRevision{document.Name, newRevision(document)})
 	}
 	return expectDelim(d, json.Delim(']'))
 }
@@ -112,7 +141,9 @@
 
 type vmListResponse struct {
 	Revision uint64 `json:"revision"`
-	VMs      []VM   `json:"vms"`
+	// History is the history in which the list was written.
+	History uint64 `json:"history"`
+	VMs     []VM   `json:"vms"`
 }
 
 // platformClient reads documents and the VM list from the platform's configuration
@@ -157,8 +188,12 @@
 	if err := p.get(ctx, "/v1/vms", callTimeout, maxVMListBytes, &a); err != nil {
 		return wire.Document{}, err
 	}
+	revision, err := Revision(a.History, a.Revision)
+	if err != nil {
+		return wire.Document{}, err
+	}
 	body, err := json.Marshal(a.VMs)
-	return wire.Document{Name: VMListDocument, Revision: a.Revision, Body: string(body)}, err
+	return wire.Document{Name: VMListDocument, Revision: revision, Body: string(body)}, err
 }
 
 func (p *platformClient) get(ctx context.Context, path string, timeout time.Duration, limit int64, target any) error {
--- a/internal/config/record.go
+++ b/internal/config/record.go
@@ -14,9 +14,9 @@
 	latest revision
 	// good is the highest valid revision.
 	good revision
-	// absent is the highest revision of a full listing that lacked the document,
-	// which counts as a deletion at that revision; 0 if there was none.
-	absent uint64
+	// lackedBy holds the full listings that lacked the document. Each counts as a
+	// deletion.
+	lackedBy listings
 	// rejectReason says why latest is invalid; it is empty if latest is valid.
 	rejectReason string
 }
@@ -41,14 +41,25 @@
 // needs reports whether merging d could change the record.
 func (r *record) needs(d wire.Document) bool { return newer(d, r.latest) || newer(d, r.good) }
 
-// recordAbsence merges a full listing that lacks the document and reports whether
-// the record changed.
-func (r *record) recordAbsence(name string, revision uint64) bool {
-	if revision <= r.absent {
-		return false
+// recordAbsence merges a full listing that lacks the document and reports whether the
+// record changed.
+func (r *record) recordAbsence(name string, l listing) bool {
+	r.lackedBy = r.lackedBy.with(l)
+	latest, good := historyOf(r.latest.number), historyOf(r.good.number)
+	changed := r.delete(name, l.absence(latest))
+	return r.delete(name, l.absence(good)) || changed
+}
+
+// applyAbsences merges the deletions of documents of a history that follow from the listings
+// that lacked the document.
+func (r *record) applyAbsences(name string, history uint64) {
+	for _, l := range r.lackedBy {
+		r.delete(name, l.absence(history))
 	}
-	r.absent = revision
-	return r.advance(wire.Document{Name: name, Revision: revision, Deleted: true}, "")
+}
+
+func (r *record) delete(name string, revision uint64) bool {
+	return revision > 0 && r.advance(wire.Document{Name: name, Revision: revision, Deleted: true}, "")
 }
 
 // hash returns a hash of the document's name and its revision numbers. The store's
--- a/internal/config/revision.go
+++ b/internal/config/revision.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"cmp"
 	"compress/flate"
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 
@@ -14,6 +16,66 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
+// A platform that is restored from a copy begins a new history, in which it assigns the
+// revisions after the copy's again. A revision number of a document therefore combines the
+// history in which the document was written, in the high bits, and the platform's number in
+// that history, so that a later write has a higher number in any case.
+const (
+	numberBits = 40
+	maxNumber  = 1<<numberBits - 1
+	maxHistory = 1<<(64-numberBits) - 1
+)
+
+// Revision returns the revision number of a platform's number in a history. It returns an
+// error if either is out of range.
+func Revision(history, number uint64) (uint64, error) {
+	if history > maxHistory || number > maxNumber {
+		return 0, fmt.Errorf("revision %d of history %d is out of range", number, history)
+	}
+	return history<<numberBits | number, nil
+}
+
+func historyOf(revision uint64) uint64 { return revision >> numberBits }
+
+func numberOf(revision uint64) uint64 { return revision & maxNumber }
+
+// listing describes a full listing of the platform.
+type listing struct {
+	// revision is the platform's revision at the time of the listing.
+	revision uint64
+	// start is the number of the copy from which the listing's history began.
+	start uint64
+}
+
+// absence returns the revision of the deletion that the listing implies for a document of
+// a history that it lacks, or 0. The copy with which the listing's history began contained
+// everything up to its own revision; later documents of earlier histories were lost with
+// the restore and are expected to be written again.
+func (l listing) absence(history uint64) uint64 {
+	switch own := historyOf(l.revision); {
+	case history == own:
+		return l.revision
+	case history < own:
+		return history<<numberBits | l.start
+	}
+	return 0
+}
+
+// listings holds the newest listing of each history.
+type listings []listing
+
+// with returns the listings with one more. It does not change l.
+func (l listings) with(added listing) listings {
+	next := slices.Clone(l)
+	for i, x := range next {
+		if historyOf(x.revision) == historyOf(added.revision) {
+			next[i] = listing{max(x.revision, added.revision), max(x.start, added.start)}
+			return next
+		}
+	}
+	return append(next, added)
+}
+
 // compressThresholdBytes is the smallest body size that is kept compressed. The
 // bodies of 39,000 accounts have 5.3 MB; their text is needed only to send it to
 // peers that lack it and to parse a change.
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -77,10 +77,10 @@
 	records  map[string]*record
 	hash     uint64
 	revision uint64
-	// listedRevision is the highest revision of a full listing. Documents that are
-	// still unknown were absent from it. It is 0 before the first listing.
-	listedRevision uint64
-	changed        chan struct{}
+	// listings holds the full listings. Documents that are still unknown were absent from
+	// them.
+	listings listings
+	changed  chan struct{}
 	// lastPlatformContact is the last time at which the platform is known to have
 	// answered this process or a peer; zero means never.
 	lastPlatformContact time.Time
@@ -107,9 +107,10 @@
 }
 
 // MergeListing adds a complete listing at a platform revision. A document that the
-// listing lacks and whose revision is lower is marked as deleted. It returns the
-// deletions and the new small documents, and offers of the new large ones.
-func (s *Store) MergeListing(documents iter.Seq[wire.Document], revision uint64) ([]wire.Document, []wire.DocumentOffer) {
+// listing lacks is marked as deleted, unless its revision is higher or was lost when the
+// platform was restored from a copy; start is the number of the revision of that copy. It
+// returns the deletions and the new small documents, and offers of the new large ones.
+func (s *Store) MergeListing(documents iter.Seq[wire.Document], revision, start uint64) ([]wire.Document, []wire.DocumentOffer) {
 	s.mergeMu.Lock()
 	defer s.mergeMu.Unlock()
 	m := s.newMerge()
@@ -119,7 +120,7 @@
 		m.add(truncateBody(d))
 		m.convertLargeToOffer()
 	}
-	m.addAbsent(present, revision)
+	m.addAbsent(present, listing{revision, start})
 	return m.finish(revision), m.offers
 }
 
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -75,7 +75,7 @@
 	for range rapid.IntRange(0, 3).Draw(t, "listings") {
 		revision := rapid.IntRange(1, len(history)).Draw(t, "at")
 		listing := listingAt(history, revision)
-		all = append(all, func(s *Store) { s.MergeListing(slices.Values(listing), uint64(revision)) })
+		all = append(all, func(s *Store) { s.MergeListing(slices.Values(listing), uint64(revision), 0) })
 	}
 	return all
 }
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -55,11 +55,11 @@
 	WatcherConfig
 	platform *platformClient
 
-	// after is the highest revision in the platform's responses. listingDone reports
-	// whether a full listing was merged since the process became a reader. Only the
-	// document loop uses them.
-	after       uint64
-	listingDone bool
+	// after is the highest revision in the platform's responses of its history.
+	// listingDone reports whether a full listing of that history was merged since the
+	// process became a reader. Only the document loop uses them.
+	after, history uint64
+	listingDone    bool
 
 	mu    sync.Mutex
 	state platformState
@@ -148,9 +148,9 @@
 	if w.recordResult(ctx, err) != nil {
 		return err
 	}
-	w.recordRevision(seen, a.Revision)
+	w.recordRevision(seen, &a)
 	w.listingDone = true
-	fresh, offers := w.Store.MergeListing(a.all(), a.Revision)
+	fresh, offers := w.Store.MergeListing(a.all(), a.position(), a.HistoryStart)
 	w.push(fresh)
 	if w.Offer != nil && len(offers) > 0 {
 		w.Offer(offers)
@@ -164,16 +164,26 @@
 	if w.recordResult(ctx, err) != nil {
 		return err
 	}
-	w.recordRevision(seen, a.Revision)
-	w.push(w.Store.Merge(slices.Collect(a.all()), a.Revision))
+	w.recordRevision(seen, &a)
+	w.push(w.Store.Merge(slices.Collect(a.all()), a.position()))
 	sleep(ctx, minWatchInterval)
 	return nil
 }
 
-// recordRevision records an event at the start of each period in which the platform
-// answers with a lower revision than this process had before the call.
-func (w *Watcher) recordRevision(seen, revision uint64) {
-	w.after = max(w.after, revision)
+// recordRevision advances the revision to watch from. A response of another history than
+// the one before makes a full listing necessary. It records an event then, and at the start
+// of each period in which the platform answers with a lower revision than this process had
+// before the call.
+func (w *Watcher) recordRevision(seen uint64, a *documentsResponse) {
+	if w.history != a.History {
+		if w.after > 0 {
+			w.Recorder.Record("config.history_changed", "", events.F("former", w.history), events.F("former_revision", w.after),
+				events.F("history", a.History), events.F("revision", a.Revision), events.F("start", a.HistoryStart))
+		}
+		w.after, w.history, w.listingDone = 0, a.History, false
+	}
+	w.after = max(w.after, a.Revision)
+	revision := a.position()
 	w.mu.Lock()
 	began := revision < seen && !w.stale
 	w.stale = revision < seen
--- a/internal/config/watcher_test.go
+++ b/internal/config/watcher_test.go
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	down     bool
 	revision uint64
+	history  uint64
+	vmState  VMState
 	calls    map[string]int
 }
 
@@ -47,17 +49,17 @@
 		return
 	}
 	if r.URL.Path == "/v1/vms" {
-		vms := []VM{{Name: "e1", Role: "entry", Address: "127.0.0.1:1", Zone: "a", State: VMLive}}
-		_ = json.NewEncoder(w).Encode(vmListResponse{Revision: 1, VMs: vms})
+		vms := []VM{{Name: "e1", Role: "entry", Address: "127.0.0.1:1", Zone: "a", State: p.vmState}}
+		_ = json.NewEncoder(w).Encode(vmListResponse{Revision: 1, History: p.history, VMs: vms})
 		return
 	}
-	documents := []wire.Document{{Name: "models/a", Revision: p.revision}}
-	_ = json.NewEncoder(w).Encode(map[string]any{"revision": p.revision, "documents": documents})
+	documents := []platformDocument{{wire.Document{Name: "models/a", Revision: p.revision}, p.history}}
+	_ = json.NewEncoder(w).Encode(map[string]any{"revision": p.revision, "history": p.history, "documents": documents})
 }
 
 func startWatcher(t *testing.T, reader bool) (*fakePlatform, *Store, *events.Recorder) {
 	t.Cleanup(func() { goleak.VerifyNone(t) })
-	p := &fakePlatform{revision: 5, calls: map[string]int{}}
+	p := &fakePlatform{revision: 5, vmState: VMLive, calls: map[string]int{}}
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
 	recorder := events.NewRecorder("e1", 1, &bytes.Buffer{})
@@ -145,3 +147,26 @@
 		t.Fatalf("delay %s after many failures is too short", delay)
 	}
 }
+
+// Guards against a reader that watches a restored platform from a revision of the former
+// history, and against a VM list that is not taken because its revision went back.
+func TestReaderFollowsRestoredPlatform(t *testing.T) {
+	is := is.New(t)
+	p, s, recorder := startWatcher(t, true)
+	waitFor(t, "the first listing", func() bool { return s.Ready() && len(s.VMs()) == 1 })
+	p.set(func() { p.history, p.revision, p.vmState = 1, 3, VMLeaving })
+	waitFor(t, "the document of the new history", func() bool { return historyOf(s.Status()[0].InForce) == 1 })
+	waitFor(t, "the VM list of the new history", func() bool { return s.VMs()[0].State == VMLeaving })
+	is.Equal(countEvents(recorder, "config.history_changed"), 1)
+	is.Equal(countEvents(recorder, "config.platform_stale"), 0)
+	is.Equal(p.count("/v1/documents"), 2)
+}
+
+// Guards against a revision that overflows into the history.
+func TestRevisionOutOfRangeIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{`{"revision": 1099511627776}`, `{"history": 16777216}`, `{"documents": [{"name": "models/a", "revision": 1099511627776}]}`} {
+		var a documentsResponse
+		is.True(decodeBounded(strings.NewReader(body), "/v1/documents", 1000, &a) != nil)
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"maps"
 	"net/http"
 	"slices"
@@ -14,14 +15,20 @@
 type Document struct {
 	Name     string `json:"name"`
 	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted"`
-	Body     string `json:"body"`
+	// History is the history in which the document was written.
+	History uint64 `json:"history"`
+	Deleted bool   `json:"deleted"`
+	Body    string `json:"body"`
 }
 
 // Listing is the platform's response to reads and watches.
 type Listing struct {
-	Revision  uint64     `json:"revision"`
-	Documents []Document `json:"documents"`
+	Revision uint64 `json:"revision"`
+	// History rises by one with each restore, and HistoryStart is the revision of the copy
+	// with which it began.
+	History      uint64     `json:"history"`
+	HistoryStart uint64     `json:"history_start"`
+	Documents    []Document `json:"documents"`
 }
 
 // VM is an entry of the platform's VM list.
@@ -38,7 +45,9 @@
 // documents.
 type VMList struct {
 	Revision uint64 `json:"revision"`
-	VMs      []VM   `json:"vms"`
+	// History is the history in which the list was written.
+	History uint64 `json:"history"`
+	VMs     []VM   `json:"vms"`
 }
 
 // PlatformMode selects how the platform responds.
@@ -83,6 +92,16 @@
 	frozen    Listing
 	frozenVMs VMList
 	calls     map[string]int
+
+	history, historyStart uint64
+	// writes and vmWrites hold all writes that the current state contains, oldest first.
+	writes   []timedDocument
+	vmWrites []timedVMs
+}
+
+type timedDocument struct {
+	since time.Time
+	Document
 }
 
 // NewPlatform returns a platform without documents and VMs, in mode up.
@@ -109,28 +128,67 @@
 	mux.HandleFunc("POST /control/mode", p.controlMode)
 	mux.HandleFunc("POST /control/vm-lag", p.controlVMLag)
 	mux.HandleFunc("GET /control/calls", p.controlCalls)
+	mux.HandleFunc("POST /control/restore", p.controlRestore)
 	return mux
 }
 
 // Publish stores a document and returns its revision.
 func (p *Platform) Publish(name, body string) uint64 {
-	return p.put(Document{Name: name, Body: body})
+	return p.put(Document{Name: name, Body: body}).Revision
 }
 
 // Delete replaces a document by a tombstone and returns the tombstone's revision.
 func (p *Platform) Delete(name string) uint64 {
-	return p.put(Document{Name: name, Deleted: true})
+	return p.put(Document{Name: name, Deleted: true}).Revision
 }
 
-func (p *Platform) put(d Document) uint64 {
+// put stores a document and returns it without its body.
+func (p *Platform) put(d Document) Document {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.revision++
-	d.Revision = p.revision
-	p.documents[d.Name] = d
+	d.Revision, d.History = p.revision+1, p.history
+	p.apply(timedDocument{time.Now(), d})
+	p.notify()
+	d.Body = ""
+	return d
+}
+
+func (p *Platform) apply(w timedDocument) {
+	p.revision = w.Revision
+	p.documents[w.Name] = w.Document
+	p.writes = append(p.writes, w)
+}
+
+func (p *Platform) notify() {
 	close(p.changed)
 	p.changed = make(chan struct{})
-	return p.revision
+}
+
+// Restore replaces the documents and the VM list by a copy that was made age ago and begins
+// a new history. Waiting watches are cut. It returns what the copy lacks: the last lost
+// write of each document.
+func (p *Platform) Restore(age time.Duration) (lost []Document) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	copied, all := time.Now().Add(-age), p.writes
+	p.documents, p.writes, p.revision = map[string]Document{}, nil, 0
+	last := map[string]Document{}
+	for _, w := range all {
+		if w.since.Before(copied) {
+			p.apply(w)
+		} else {
+			last[w.Name] = w.Document
+		}
+	}
+	p.history++
+	p.historyStart = p.revision
+	kept := slices.DeleteFunc(p.vmWrites, func(t timedVMs) bool { return !t.since.Before(copied) })
+	p.vmWrites, p.vms = kept, []timedVMs{{list: VMList{VMs: []VM{}}}}
+	if len(kept) > 0 {
+		p.vms = []timedVMs{kept[len(kept)-1]}
+	}
+	p.notify()
+	return slices.SortedFunc(maps.Values(last), func(a, b Document) int { return cmp.Compare(a.Revision, b.Revision) })
 }
 
 // withMode counts a call and applies the platform's mode before the call is served.
@@ -176,8 +234,12 @@
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	first, _ := p.list(after)
 	for {
 		listing, changed := p.list(after)
+		if listing.History != first.History {
+			panic(http.ErrAbortHandler)
+		}
 		if len(listing.Documents) > 0 {
 			// A mode that was set while the watch waited also applies to its response.
 			p.answerWatch(w, r, listing)
@@ -233,7 +295,7 @@
 }
 
 func (p *Platform) current() Listing {
-	l := Listing{Revision: p.revision, Documents: []Document{}}
+	l := Listing{Revision: p.revision, History: p.history, HistoryStart: p.historyStart, Documents: []Document{}}
 	for _, d := range p.documents {
 		l.Documents = append(l.Documents, d)
 	}
@@ -248,7 +310,8 @@
 			kept = append(kept, d)
 		}
 	}
-	return Listing{Revision: l.Revision, Documents: kept}
+	l.Documents = kept
+	return l
 }
 
 func (p *Platform) serveVMs(w http.ResponseWriter, _ *http.Request) {
@@ -286,20 +349,20 @@
 	if vms == nil {
 		vms = []VM{}
 	}
-	list := VMList{Revision: newest.Revision + 1, VMs: vms}
-	p.vms = append(p.vms, timedVMs{since: time.Now(), list: list})
+	list := timedVMs{since: time.Now(), list: VMList{Revision: newest.Revision + 1, History: p.history, VMs: vms}}
+	p.vms = append(p.vms, list)
+	p.vmWrites = append(p.vmWrites, list)
 }
 
 func (p *Platform) controlPublish(w http.ResponseWriter, r *http.Request) {
 	var d Document
 	if readJSON(w, r, &d) {
-		writeJSON(w, Document{Name: d.Name, Revision: p.Publish(d.Name, d.Body)})
+		writeJSON(w, p.put(Document{Name: d.Name, Body: d.Body}))
 	}
 }
 
 func (p *Platform) controlDelete(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("name")
-	writeJSON(w, Document{Name: name, Revision: p.Delete(name), Deleted: true})
+	writeJSON(w, p.put(Document{Name: r.PathValue("name"), Deleted: true}))
 }
 
 func (p *Platform) controlVMs(w http.ResponseWriter, r *http.Request) {
@@ -361,6 +424,16 @@
 	}
 }
 
+// controlRestore restores the platform and returns the documents that the copy lacks.
+func (p *Platform) controlRestore(w http.ResponseWriter, r *http.Request) {
+	var copied struct {
+		AgeMS int64 `json:"age_ms"`
+	}
+	if readJSON(w, r, &copied) {
+		writeJSON(w, p.Restore(time.Duration(copied.AgeMS)*time.Millisecond))
+	}
+}
+
 func (p *Platform) controlCalls(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	calls := maps.Clone(p.calls)
