platform: one odd item spoils no other, and names no server

What callers would see: no server of a service is found, or configuration changes stop, for as long as another writer's item is in the store; a sound server is hidden by an entry at its address.

Cause: a page or a watch was decoded as a whole, so an item whose value is a number or no base64, whose revision is text or 1e400, or that is nested 20,000 deep made the whole response an error. What was decoded was taken without a look at its range: a start at 1e300, which is another integer on each kind of processor, port 0 or 99999, a host name, -5 slots. Counts in headers and reports could overflow.

Lists are read one element at a time (internal/jsonstream); an element of another form is passed on as unreadable with what is known of it. Entries need all fields that are used, in range; a configuration is checked as a whole and the former one stays in force.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,8 @@
 	$(GO) test -run='^$$' -fuzz='^FuzzVerify$$' -fuzztime=$$((200000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/ticket
 	$(GO) test -run='^$$' -fuzz='^FuzzRead$$' -fuzztime=$$((100000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/wire
 	$(GO) test -run='^$$' -fuzz='^FuzzDatagram$$' -fuzztime=$$((60000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/peers
+	$(GO) test -run='^$$' -fuzz='^FuzzObjects$$' -fuzztime=$$((60000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/jsonstream
+	$(GO) test -run='^$$' -fuzz='^FuzzStoreItems$$' -fuzztime=$$((20000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./platform
 	$(GO) test -run='^$$' -fuzz='^FuzzEvents$$' -fuzztime=$$((60000*$(FUZZ_TIMES)))x -parallel=$(FUZZ_WORKERS) ./internal/gateway
 
 test: fmt-check vet lint build unit integration soak fuzz
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -37,7 +37,7 @@
 // apply puts the configuration of an item in force if it is readable and is not older than
 // the one in force.
 func (c *configuration) apply(i Item, history int) {
-	next, err := c.documents.Configuration(i.Value)
+	next, err := c.decode(i)
 	if err != nil {
 		c.recorder.Record("configuration_unreadable", "", events.F("revision", i.Revision), events.F("error", err.Error()))
 		return
@@ -54,6 +54,13 @@
 	c.recorder.Record("configuration_taken", "", events.F("version", next.Version), events.F("revision", i.Revision))
 }
 
+func (c *configuration) decode(i Item) (*deployment.Configuration, error) {
+	if i.Err != nil {
+		return nil, i.Err
+	}
+	return c.documents.Configuration(i.Value)
+}
+
 // replaces reports whether a configuration replaces the one in force. Two contents have the
 // same version if the first one was lost in a restore and its number was given to the next
 // change.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -53,6 +53,8 @@
 	Value    []byte
 	Revision int64
 	Deleted  bool
+	// Err is set if the item is unreadable; the other fields hold what is readable of it.
+	Err error
 }
 
 // Position is a point in one history of the store. A store that is restored from an older
@@ -360,6 +362,8 @@
 // applyChange applies one change of the store; keys of other kinds are ignored.
 func (f *Feed) applyChange(i Item) {
 	switch {
+	case i.Err != nil && i.Key == "":
+		f.recorder.Record("store_item_unreadable", "", events.F("revision", i.Revision), events.F("error", i.Err.Error()))
 	case i.Key == f.documents.ConfigurationKey():
 		if !i.Deleted {
 			f.configuration.apply(i, f.history)
--- a/internal/feed/servers.go
+++ b/internal/feed/servers.go
@@ -132,9 +132,13 @@
 
 // decode returns the server of an entry, or nil if the entry is unreadable.
 func (s *servers) decode(i Item) *deployment.Server {
-	server, err := s.documents.Server(i.Key, i.Value)
+	var server *deployment.Server
+	err := i.Err
+	if err == nil {
+		server, err = s.documents.Server(i.Key, i.Value)
+	}
 	if err != nil {
-		s.recorder.Record("server_entry_unreadable", "", events.F("revision", i.Revision), events.F("error", err.Error()))
+		s.recorder.Record("server_entry_unreadable", "", events.F("key", i.Key), events.F("revision", i.Revision), events.F("error", err.Error()))
 		return nil
 	}
 	return server
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -276,10 +276,14 @@
 func (*RetryRecord) kind() byte     { return kindRetryRecord }
 func (*RetryQuery) kind() byte      { return kindRetryQuery }
 
-// Valid reports whether the rank and the size are within the bounds. An invalid size
-// could make the receiver allocate or iterate without limit.
+// maxRequests bounds the requests of a rank in a Report.
+const maxRequests = 1 << 20
+
+// Valid reports whether the numbers are within the bounds. An invalid size could make the
+// receiver allocate or iterate without limit.
 func (r *Report) Valid() bool {
-	return r.Rank >= 0 && r.Rank < MaxRanks && r.Size >= 0 && r.Size <= MaxRanks
+	return r.Rank >= 0 && r.Rank < MaxRanks && r.Size >= 0 && r.Size <= MaxRanks && r.Epoch >= 0 && r.Slowdown >= 0 &&
+		r.Running >= 0 && r.Running <= maxRequests && r.Queued >= 0 && r.Queued <= maxRequests
 }
 
 // Valid reports whether the rank and the offset are within the bounds.
