config: one odd document or VM spoils no other

The other way to run had the same fault: a document whose revision is text, or a VM without a port, made the listing or the VM list unreadable for every reader, for as long as it was there.

Documents and VMs are read one at a time; those of another form are left out and counted in config.unreadable.

--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -61,6 +62,9 @@
 	after, history uint64
 	listingDone    bool
 
+	// unreadableDocuments and unreadableVMs are the numbers that were last logged.
+	unreadableDocuments, unreadableVMs atomic.Int64
+
 	mu    sync.Mutex
 	state platformState
 	stale bool
@@ -149,6 +153,7 @@
 		return err
 	}
 	w.recordRevision(seen, &a)
+	w.recordUnreadable(&w.unreadableDocuments, "documents", a.unreadable)
 	w.listingDone = true
 	fresh, offers := w.Store.MergeListing(a.all(), a.position(), a.HistoryStart)
 	w.push(fresh)
@@ -193,6 +198,14 @@
 	}
 }
 
+// recordUnreadable records an event when the number of unreadable elements of a list
+// changes.
+func (w *Watcher) recordUnreadable(logged *atomic.Int64, list string, n int) {
+	if logged.Swap(int64(n)) != int64(n) {
+		w.Recorder.Record("config.unreadable", "", events.F("list", list), events.F("elements", n))
+	}
+}
+
 func (w *Watcher) push(fresh []wire.Document) {
 	if w.Push != nil && len(fresh) > 0 {
 		w.Push(fresh)
@@ -218,10 +231,11 @@
 }
 
 func (w *Watcher) readVMs(ctx context.Context) error {
-	d, err := w.platform.vmList(ctx)
+	d, unreadable, err := w.platform.vmList(ctx)
 	if w.recordResult(ctx, err) != nil {
 		return err
 	}
+	w.recordUnreadable(&w.unreadableVMs, "vms", unreadable)
 	w.push(w.Store.Merge([]wire.Document{d}, 0))
 	return nil
 }
