mapcontrol: an epoch that no rank reports any more ends

One report with an epoch far ahead hid all later reports of its group for as long as the controller ran: no maps, no limit and no loads for that group. The epoch is a number of the group's history, and the highest ever seen was kept as if it were an order over all of them. A lower epoch is accepted when no rank has reported the current one for a second; delayed reports arrive sooner. TestEpochThatNoRankReportsEnds fails on the parent commit (epoch 1<<50 stays).

--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -93,7 +93,12 @@
 // New returns a controller; Run starts it.
 func New(c Config) *Controller { return &Controller{Config: c, groups: map[string]*group{}} }
 
-// HandleReport records the state of a rank. Reports of earlier epochs are ignored.
+// epochTimeout is the time after which an epoch that no rank reports any more has ended. A
+// delayed report arrives sooner.
+const epochTimeout = time.Second
+
+// HandleReport records the state of a rank. Reports of earlier epochs are ignored as long as
+// a rank reports the current one.
 func (c *Controller) HandleReport(r *peers.Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -102,10 +107,10 @@
 		g = &group{name: r.Group, ranks: map[int]*rank{}}
 		c.groups[r.Group] = g
 	}
-	if r.Epoch < g.epoch {
+	if r.Epoch < g.epoch && g.reportsEpoch(time.Now().Add(-epochTimeout)) {
 		return
 	}
-	if r.Epoch > g.epoch {
+	if r.Epoch != g.epoch {
 		if g.epoch != 0 {
 			c.Recorder.Record("group_epoch", "", events.F("group", g.name), events.F("epoch", r.Epoch), events.F("former", g.epoch))
 		}
--- a/internal/mapcontrol/group.go
+++ b/internal/mapcontrol/group.go
@@ -42,6 +42,16 @@
 	reportedAt time.Time
 }
 
+// reportsEpoch reports whether a rank has reported the current epoch since a time.
+func (g *group) reportsEpoch(since time.Time) bool {
+	for _, r := range g.ranks {
+		if r.Epoch == g.epoch && r.reportedAt.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // shouldAvoid reports whether a rank should get no new requests: it is slow, which
 // makes all ranks wait in each pass, or there is no recent report from its machine
 // while other ranks report.
