--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -115,8 +115,8 @@
 	body, okBody := jsonstream.String(fields, "body")
 	deleted, okDeleted := jsonstream.Bool(fields, "deleted")
 	revision, err := decodeRevision(fields)
-	if name == "" || !okName || !okBody || !okDeleted {
-		err = errForm
+	if name == "" || !okName || !okBody || !okDeleted || numberOf(revision) == 0 {
+		err = cmp.Or(err, errForm)
 	}
 	return wire.Document{Name: name, Revision: revision, Deleted: deleted, Body: body}, err
 }
