entry: calls that outlast a planned stop are refused at once

A call whose deadline lies after the end of the stop gets 503 with the reason leaving; what is still open 0.1 s before the end gets an answer. The end of a planned stop is one type for both ways to run (internal/shutdown).

--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/shutdown"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
@@ -25,6 +26,8 @@
 	servicesPrefix = "/v1/services/"
 	// writeGrace is how long an answer may still be written after the deadline.
 	writeGrace = 5 * time.Second
+	// otherEntryRetryAfter is the Retry-After of requests that another entry VM can serve.
+	otherEntryRetryAfter = 50 * time.Millisecond
 	// busyRetryAfter is the Retry-After of refusals for overload and for a
 	// missing configuration.
 	busyRetryAfter = time.Second
@@ -44,6 +47,7 @@
 	inFlight atomic.Int64
 	// pauses determines how long a request may have waited to be read.
 	pauses *pauses
+	stop   *shutdown.Stop
 }
 
 // request is the state of one request. Handlers get it from the context.
@@ -143,13 +147,19 @@
 		return e
 	}
 	req.call = call
+	if f.stop.Outlasts(call.Deadline) {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonLeaving, "the process stops before the deadline").WithRetryAfter(otherEntryRetryAfter)
+	}
 	if req.body, e = f.readBody(w, r); e != nil {
 		return e
 	}
 	r.Body = io.NopCloser(bytes.NewReader(req.body))
 	_ = http.NewResponseController(w).SetWriteDeadline(call.Deadline.Add(writeGrace))
 	f.recorder.Record("request.received", req.id, events.F("account", call.Account.ID), events.F("rank", call.Rank.String()), events.F("path", r.URL.Path))
-	next.ServeHTTP(w, r)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(f.stop.Ended(), cancel)()
+	next.ServeHTTP(w, r.WithContext(ctx))
 	return nil
 }
 
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -14,7 +14,17 @@
 const leaveNoticeTime = time.Second
 
 // drain starts a graceful shutdown and returns immediately. It cannot be undone.
-func (p *process) drain() { p.leaveOnce.Do(func() { close(p.leaving) }) }
+func (p *process) drain() {
+	p.leaveOnce.Do(func() {
+		p.stop.Plan(time.Now().Add(p.serveTime() + time.Duration(p.config.DrainTimeout)))
+		close(p.leaving)
+	})
+}
+
+// serveTime is how long a leaving process serves callers whose address answers name it.
+func (p *process) serveTime() time.Duration {
+	return time.Duration(p.config.AddressLifetime) + leaveNoticeTime
+}
 
 func (p *process) isLeaving() bool {
 	select {
@@ -39,7 +49,7 @@
 	p.view.SetLeaving()
 	p.links.Push()
 	select {
-	case <-time.After(time.Duration(p.config.AddressLifetime) + leaveNoticeTime):
+	case <-time.After(p.serveTime()):
 	case <-ctx.Done():
 		return
 	}
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -27,6 +27,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
 	"github.com/coltsfootbay/coltsfootbay/internal/routing"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
+	"github.com/coltsfootbay/coltsfootbay/internal/shutdown"
 	"github.com/coltsfootbay/coltsfootbay/internal/ticket"
 	"github.com/coltsfootbay/coltsfootbay/internal/tomlfile"
 	"github.com/coltsfootbay/coltsfootbay/internal/transport"
@@ -55,6 +56,7 @@
 
 	leaveOnce sync.Once
 	leaving   chan struct{}
+	stop      *shutdown.Stop
 }
 
 // validate checks the settings that provision relies on and that the checks of
@@ -85,7 +87,7 @@
 }
 
 func newProcess(c settings.EntryConfig, w io.Writer) *process {
-	p := &process{config: c, leaving: make(chan struct{})}
+	p := &process{config: c, leaving: make(chan struct{}), stop: shutdown.New()}
 	p.self = wire.Hello{
 		Process: fleet.ProcessID(c.Name), Start: fleet.NewStartID(), Role: fleet.RoleEntry, Zone: fleet.AvailabilityZone(c.Zone),
 		Address: c.PeerAddress, AdminAddress: c.AdminAddress, CallerAddress: c.CallerAddress,
@@ -153,7 +155,7 @@
 		Leaving: p.isLeaving, Started: time.Now(), InFlight: func() int { return int(p.frontend.inFlight.Load()) },
 	}
 	p.frontend = newFrontend(p.config, p.commands, p.queries)
-	p.frontend.pauses = &p.pauses
+	p.frontend.pauses, p.frontend.stop = &p.pauses, p.stop
 	p.server = &http.Server{
 		Handler:           p.frontend,
 		ReadHeaderTimeout: time.Duration(p.config.Limits.ReadTimeout),
@@ -165,7 +167,7 @@
 
 // newFrontend returns the HTTP handler of the callers' listener.
 func newFrontend(c settings.EntryConfig, commands *command.Commands, queries *query.Queries) *frontend {
-	f := &frontend{config: c, store: commands.Store, recorder: commands.Recorder, usage: commands.Usage, leaving: queries.Leaving, paused: commands.Paused, pauses: &pauses{}}
+	f := &frontend{config: c, store: commands.Store, recorder: commands.Recorder, usage: commands.Usage, leaving: queries.Leaving, paused: commands.Paused, pauses: &pauses{}, stop: shutdown.New()}
 	api := &callersAPI{frontend: f, commands: commands, queries: queries, config: c}
 	f.api, f.services = api.handler(), http.HandlerFunc(api.serveService)
 	return f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
+	"github.com/coltsfootbay/coltsfootbay/internal/shutdown"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
@@ -80,7 +81,7 @@
 	keepAliveClient *http.Client
 	oneShotClient   *http.Client
 	bodyBytes       atomic.Int64
-	stop            *plannedStop
+	stop            *shutdown.Stop
 	waiting         waitingRequests // queued requests
 	// revocationDelay is Config.RevocationDelay in nanoseconds; a reload may change it.
 	revocationDelay atomic.Int64
@@ -96,7 +97,7 @@
 		services:        newServices(c.Zone, c.Recorder),
 		keepAliveClient: &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		oneShotClient:   &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
-		stop:            newPlannedStop(),
+		stop:            shutdown.New(),
 	}
 	g.SetRevocationDelay(c.RevocationDelay)
 	return g
@@ -258,7 +259,7 @@
 	g.Retries.Request(r.service.Name)
 	ctx, cancel := context.WithDeadline(in.Context(), r.deadline)
 	defer cancel()
-	defer context.AfterFunc(g.stop.ended, cancel)()
+	defer context.AfterFunc(g.stop.Ended(), cancel)()
 	if r.route.Kind == deployment.Streaming {
 		g.serveStream(ctx, w, r)
 		return
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -11,9 +9,6 @@
 )
 
 const (
-	// stopAnswerTime is the time before the end of a planned stop at which requests that
-	// still run are ended: it is enough to send an answer.
-	stopAnswerTime = 100 * time.Millisecond
 	// durationMargin is the multiple of the longest recent request's duration that a new
 	// request is expected to need at most.
 	durationMargin = 2
@@ -21,59 +16,23 @@
 	durationPeriod = 10 * time.Second
 )
 
-// errStopping is the cause of the end of requests that are open at the end of a planned
-// stop.
-var errStopping = errors.New("the gateway has stopped")
-
-// plannedStop is the state of a planned stop.
-type plannedStop struct {
-	// ended is done when open requests are ended.
-	ended context.Context
-	end   context.CancelCauseFunc
-
-	mu sync.Mutex
-	at time.Time // zero if no stop is planned
-}
-
-func newPlannedStop() *plannedStop {
-	s := &plannedStop{}
-	s.ended, s.end = context.WithCancelCause(context.Background())
-	return s
-}
-
-// endAt returns when open requests are ended; planned is false if no stop is planned.
-func (s *plannedStop) endAt() (at time.Time, planned bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.at, !s.at.IsZero()
-}
-
 // StartDrain begins a planned stop that ends at a time. The gateway closes each caller's
 // connection after its response, and refuses requests that may not end by then.
-func (g *Gateway) StartDrain(until time.Time) {
-	s := g.stop
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.at.IsZero() {
-		return
-	}
-	s.at = until.Add(-stopAnswerTime)
-	time.AfterFunc(time.Until(s.at), func() { s.end(errStopping) })
-}
+func (g *Gateway) StartDrain(until time.Time) { g.stop.Plan(until) }
 
 // leaving reports whether a planned stop has begun.
 func (g *Gateway) leaving() bool {
-	_, planned := g.stop.endAt()
+	_, planned := g.stop.At()
 	return planned
 }
 
 // refuseLate refuses a request that may not end before a planned stop does: its caller
 // would get no complete answer. Other gateways can serve it.
 func (g *Gateway) refuseLate(r *request) *verdict.Error {
-	at, planned := g.stop.endAt()
-	if !planned || !g.latestEnd(r).After(at) {
+	if !g.leaving() || !g.stop.Outlasts(g.latestEnd(r)) {
 		return nil
 	}
+	at, _ := g.stop.At()
 	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonLeaving, "the gateway stops in %s",
 		time.Until(at).Round(time.Millisecond)).WithRetryAfter(otherGatewayRetryAfter)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -378,7 +378,7 @@
 	}
 	outcome := "broken_off"
 	switch {
-	case s.g.stop.ended.Err() != nil:
+	case s.g.stop.Ended().Err() != nil:
 		outcome = "stopped"
 	case errors.Is(ctx.Err(), context.Canceled):
 		outcome = "caller_left"
