soak: restores of the store beside all other faults

TestSoakWithRestores restores the store from copies of up to 8 s, in series, with and without a time in which it is away, beside freezes, kills, stops, cuts, lost answers, compactions and configuration changes. What a restore loses is written again up to 1.5 s after the store is back, or after the next restore.

--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -43,13 +43,19 @@
 		x.wait.Go(func() { x.restartGateways(seed) })
 		x.wait.Go(func() { x.addLoad(seed) })
 	}
+	observer := startRouteObserver(f)
+	if f.restoring {
+		x.wait.Go(func() { x.restoreStore(seed) })
+	}
 	x.run(*faultTime)
 	x.note("faults have ended")
+	f.store.RewriteLost()
 	time.Sleep(settleTime)
 	from := time.Now()
 	time.Sleep(faultFreeTime)
 	f.checkStop(t, callers)
 	to := time.Now()
+	observer.end(t)
 	f.checkConfiguration(t, callers)
 	f.checkDrain(t)
 	attempts := callers.end()
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -313,10 +313,11 @@
 	x.changes.Lock()
 	defer x.changes.Unlock()
 	x.note("configuration: route added")
+	name := fmt.Sprintf("extra-%d", x.fleet.config.Version)
 	x.fleet.changeConfiguration(func(c *platformtest.Configuration) {
-		name := fmt.Sprintf("extra-%d", c.Version)
 		c.Routes = append(slices.Clone(c.Routes), platformtest.Route{Name: name, Host: host, Service: plainName, Kind: "safe", TimeoutMS: 1500})
 	})
+	x.fleet.added.add(name)
 }
 
 // revokeKey removes a key permanently. The last key of an account is kept.
--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -63,6 +63,9 @@
 	withoutProxies bool
 	// refusing makes servers refuse requests while gateways are restarted in series.
 	refusing bool
+	// restoring restores the store from older copies beside the other faults.
+	restoring bool
+	added     addedRoutes
 	// crashParts holds the parts of prompts that crashed servers.
 	crashParts []string
 }
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -60,6 +60,12 @@
 	soakSeeds(t, nil, func(f *fleet) { f.refusing = true })
 }
 
+// Guards against violated guarantees, a configuration that goes back and revoked keys that
+// return above all, while the store is restored from older copies beside all other faults.
+func TestSoakWithRestores(t *testing.T) {
+	soakSeeds(t, nil, func(f *fleet) { f.restoring = true })
+}
+
 // Guards against violated guarantees under combinations of faults that no
 // dedicated test covers.
 func TestSoak(t *testing.T) { soakSeeds(t, failedSeeds) }
