soak: changes right before and after a restore, and routes that must be known

A gateway answers 503 for an unknown route when its copy is older than 2.6 s. A route that the store has had for longer, with the time of a request, may therefore never get 404, whatever other faults there are. Restores now come with up to three changes on both sides and frozen gateways, so that revisions are assigned again at once.

--- a/integration/soak/restore_test.go
+++ b/integration/soak/restore_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,17 +15,33 @@
 // maxRewriteDelay is how long it takes at most until what a restore lost is written again.
 const maxRewriteDelay = 1500 * time.Millisecond
 
-// restoreStore restores the store from older copies, again and again. What is lost is
-// written again some time later, or after the next restore.
+// maxChangesBeside is the number of configuration changes right before and after a restore:
+// the revisions of the new history reach those of the former one at once.
+const maxChangesBeside = 3
+
+// restoreStore restores the store from older copies, again and again, beside changes of the
+// configuration and frozen gateways. What is lost is written again some time later, or after
+// the next restore.
 func (x *faults) restoreStore(seed int64) {
 	random := rand.New(rand.NewPCG(uint64(seed), 33))
 	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	change := func() {
+		for range 1 + random.IntN(maxChangesBeside) {
+			x.addRoute()
+		}
+	}
 	for end := x.began.Add(*faultTime); time.Now().Before(end); {
 		time.Sleep(upTo(4 * time.Second))
 		age, down, rewrite := upTo(8*time.Second), upTo(1500*time.Millisecond), upTo(maxRewriteDelay)
 		away := []platformtest.Outage{{Status: 503}, {Silent: true}, {}}[random.IntN(3)]
+		change()
+		for _, n := range random.Perm(gateways)[:random.IntN(gateways)] {
+			g := x.fleet.gateways[n]
+			x.injectFor(g.Name, "frozen over a restore", down+upTo(2*time.Second), func() { _ = g.Freeze() }, func() { _ = g.Unfreeze() })
+		}
 		var rewritten sync.WaitGroup
 		x.injectFor("store", fmt.Sprintf("restored from a copy of %s, %+v", age.Round(time.Millisecond), away), down, func() {
+			x.fleet.added.setLost(true)
 			x.fleet.store.SetOutage(away)
 			x.fleet.store.Restore(age)
 		}, func() {
@@ -34,11 +49,14 @@
 			rewritten.Go(func() {
 				time.Sleep(rewrite)
 				x.note("store: %d lost keys are written again", x.fleet.store.RewriteLost())
+				x.fleet.added.setLost(false)
 			})
 		})
 		if random.IntN(2) == 0 {
+			time.Sleep(down)
 			rewritten.Wait()
 		}
+		change()
 	}
 }
 
@@ -47,28 +65,60 @@
 	routeInterval = 120 * time.Millisecond
 	// routeTimeout is the time limit of such a request.
 	routeTimeout = 600 * time.Millisecond
+	// knownBound is the age of a copy from which on a gateway answers 503 for what it does
+	// not know, 2.6 s, and the time for the request. Nobody may say that a route does not
+	// exist which was in the store longer ago.
+	knownBound = 2600*time.Millisecond + routeTimeout
 )
 
-// addedRoutes holds the names of the routes that were added and acknowledged.
+// addedRoutes holds the routes that were added and acknowledged.
 type addedRoutes struct {
 	mu   sync.Mutex
-	list []string
+	list []addedRoute
+	// lost is true while the store may lack a route, and complete is when that last ended.
+	lost     bool
+	complete time.Time
+}
+
+type addedRoute struct {
+	name  string
+	since time.Time
 }
 
 func (a *addedRoutes) add(name string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.list = append(a.list, name)
+	a.list = append(a.list, addedRoute{name, time.Now()})
+}
+
+func (a *addedRoutes) setLost(lost bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lost, a.complete = lost, time.Now()
+}
+
+// draw returns one of the last routes.
+func (a *addedRoutes) draw(random *rand.Rand) (r addedRoute, ok bool) {
+	const last = 4
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.list) == 0 {
+		return addedRoute{}, false
+	}
+	return a.list[len(a.list)-1-random.IntN(min(last, len(a.list)))], true
 }
 
-func (a *addedRoutes) names() []string {
+// mustBeKnown reports whether no process may say that a route does not exist, in response
+// to a request that was sent at a time.
+func (a *addedRoutes) mustBeKnown(r addedRoute, sent time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Clone(a.list)
+	return !a.lost && sent.Sub(r.since) > knownBound && sent.Sub(a.complete) > knownBound
 }
 
 // routeObserver asks each gateway for routes that were added. A process that has served a
-// route once must not say later that there is no such route.
+// route once, or has a recent copy of a store that has had the route for some time, must not
+// say that there is no such route.
 type routeObserver struct {
 	fleet *fleet
 	stop  context.CancelFunc
@@ -99,13 +149,13 @@
 		if pid := g.PID(); pid != process {
 			process, served = pid, map[string]bool{}
 		}
-		routes := o.fleet.added.names()
-		if len(routes) == 0 {
+		route, ok := o.fleet.added.draw(random)
+		if !ok {
 			continue
 		}
-		route := routes[random.IntN(len(routes))]
+		sent := time.Now()
 		r := platformtest.Send(ctx, client, g.callers, platformtest.Request{
-			ID: fmt.Sprintf("%sroute-%d-%d", probePrefix, n, i), Host: host, Kind: "safe", Limit: routeTimeout, Path: "/" + route + "/1",
+			ID: fmt.Sprintf("%sroute-%d-%d", probePrefix, n, i), Host: host, Kind: "safe", Limit: routeTimeout, Path: "/" + route.name + "/1",
 			Key: fmt.Sprintf("key-%d-%d", accounts-1, keysPerAccount-1),
 		})
 		if g.PID() != process {
@@ -114,10 +164,11 @@
 		o.mu.Lock()
 		switch {
 		case r.Outcome == platformtest.Complete:
-			served[route] = true
+			served[route.name] = true
 			o.served++
-		case r.Outcome == platformtest.Denied && served[route]:
-			o.faults = append(o.faults, fmt.Sprintf("%s answers %d for the route %s, which it served before", g.Name, r.Status, route))
+		case r.Outcome == platformtest.Denied && (served[route.name] || o.fleet.added.mustBeKnown(route, sent)):
+			o.faults = append(o.faults, fmt.Sprintf("%s answers %d for the route %s, added %s before, served before: %v", g.Name, r.Status, route.name,
+				sent.Sub(route.since).Round(time.Millisecond), served[route.name]))
 		}
 		o.mu.Unlock()
 	}
