soak: a change after a restore reaches every gateway

TestChangeAfterRestoreReachesEveryGateway runs the two cases of the incident over real processes: a gateway is frozen over the restore, and all gateways pause after a change while the store is restored and two writes take the revisions up to their position.

--- a/integration/soak/restore_test.go
+++ b/integration/soak/restore_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,10 @@
 // the revisions of the new history reach those of the former one at once.
 const maxChangesBeside = 3
 
+// quietTime is the time after some restores in which no further one follows: a route that is
+// missed would else be found with the next change.
+const quietTime = knownBound + 2500*time.Millisecond
+
 // restoreStore restores the store from older copies, again and again, beside changes of the
 // configuration and frozen gateways. What is lost is written again some time later, or after
 // the next restore.
@@ -53,10 +58,13 @@
 			})
 		})
 		if random.IntN(2) == 0 {
-			time.Sleep(down)
-			rewritten.Wait()
+			change()
+			continue
 		}
+		time.Sleep(down + rewrite)
+		rewritten.Wait()
 		change()
+		time.Sleep(quietTime)
 	}
 }
 
@@ -183,3 +191,69 @@
 	}
 	t.Logf("routes that were added: served %d times", o.served)
 }
+
+// addRouteNow adds a route and returns its name.
+func (f *fleet) addRouteNow() string {
+	name := fmt.Sprintf("added-%d", f.config.Version)
+	f.changeConfiguration(func(c *platformtest.Configuration) {
+		c.Routes = append(slices.Clone(c.Routes), platformtest.Route{Name: name, Host: host, Service: plainName, Kind: "safe", TimeoutMS: 1500})
+	})
+	return name
+}
+
+// Guards against a gateway that misses a change because the restored store has assigned the
+// revision of its position again before its next call: it is frozen over the restore, or
+// pauses after a change.
+func TestChangeAfterRestoreReachesEveryGateway(t *testing.T) {
+	if *binaries == "" {
+		t.Skip("-bin is not given")
+	}
+	// changesInPause is how long the changes of the second case take at most; a process
+	// pauses for 0.5 s after a change.
+	const contactTime, copyTime, changesInPause = 3 * time.Second, 300 * time.Millisecond, 400 * time.Millisecond
+	for name, frozen := range map[string]bool{"frozen": true, "in a pause": false} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t)
+			time.Sleep(copyTime)
+			copied := time.Now()
+			time.Sleep(copyTime)
+			f.addRouteNow()
+			if frozen {
+				time.Sleep(time.Second)
+				f.addRouteNow()
+				time.Sleep(time.Second)
+				if err := f.gateways[0].Freeze(); err != nil {
+					t.Fatal(err)
+				}
+			} else {
+				time.Sleep(time.Second)
+				f.addRouteNow()
+				time.Sleep(copyTime / 10) // the change arrives, and the pause begins
+			}
+			began := time.Now()
+			f.store.Restore(time.Since(copied) - copyTime/2)
+			if lost := f.store.RewriteLost(); lost != 1 {
+				t.Fatalf("%d keys were lost, want the configuration alone", lost)
+			}
+			newest := f.addRouteNow()
+			if took := time.Since(began); took > changesInPause {
+				t.Fatalf("the changes took %s", took)
+			}
+			if frozen {
+				time.Sleep(time.Second)
+				if err := f.gateways[0].Unfreeze(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(contactTime)
+			for n, g := range f.gateways {
+				r := platformtest.Send(context.Background(), &http.Client{}, g.callers, platformtest.Request{
+					ID: fmt.Sprintf("%s%d", probePrefix, n), Host: host, Kind: "safe", Limit: time.Second, Path: "/" + newest + "/1", Key: f.config.Keys["account-0"][0],
+				})
+				if r.Outcome != platformtest.Complete {
+					t.Errorf("CONFIG: %s: outcome %d, status %d, %s", g.Name, r.Outcome, r.Status, r.Detail)
+				}
+			}
+		})
+	}
+}
