mapcontrol: an offset near the largest integer is out of range

One datagram with counts at the offset 1<<63 - 1 passed the check, which overflowed, and the controller's handler panicked; the panic was recovered and cost that message. Reports with negative map numbers are refused as well: the held rank of a switch is the remainder of such a number. TestOutOfRangeCountsAreDropped has the offset and panics on the parent commit.

--- a/internal/mapcontrol/demand.go
+++ b/internal/mapcontrol/demand.go
@@ -70,7 +70,7 @@
 // range are ignored.
 func (d *demand) add(p *peers.ExpertCounts) {
 	offset, counts := p.Offset, p.Counts
-	if offset < 0 || offset+len(counts) > maxExpertCounts {
+	if offset < 0 || offset > maxExpertCounts-len(counts) {
 		return
 	}
 	if d.reportedRanks == nil {
--- a/internal/mapcontrol/demand_test.go
+++ b/internal/mapcontrol/demand_test.go
@@ -1,6 +1,7 @@
 package mapcontrol
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -67,6 +68,7 @@
 	d := &demand{}
 	d.add(&peers.ExpertCounts{Offset: -1, Counts: []byte{1}})
 	d.add(&peers.ExpertCounts{Offset: maxExpertCounts, Counts: []byte{1}})
+	d.add(&peers.ExpertCounts{Offset: math.MaxInt, Counts: []byte{1}})
 	is.Equal(len(d.window), 0)
 }
 
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -283,6 +283,7 @@
 // receiver allocate or iterate without limit.
 func (r *Report) Valid() bool {
 	return r.Rank >= 0 && r.Rank < MaxRanks && r.Size >= 0 && r.Size <= MaxRanks && r.Epoch >= 0 && r.Slowdown >= 0 &&
+		r.Map >= 0 && r.Prepared >= 0 && r.Armed >= 0 && r.HoldPass >= 0 &&
 		r.Running >= 0 && r.Running <= maxRequests && r.Queued >= 0 && r.Queued <= maxRequests
 }
 
