rankagent, mapcontrol: one controller changes a map at a time, versions are its own

Cause: three beliefs without a guard. (1) A version says what a map contains: a controller took highest+1 of what ranks report, and ranks do not report copies in progress, so a controller that wakes from a freeze and its successor took the same number. (2) A rank that has the number has the map: a refused prepare counted as prepared as soon as the number was reported. (3) The protocol of a switch is safe with two controllers: if both hold the same rank before the same pass, the one that fails releases it while the other one still arms the ranks.

A switch claims all ranks with the reports that it read before, so it makes no more calls; a change claims once more before it copies experts, so that of two controllers one does not copy in vain. A resolution needs the claims of all agents that respond.

Ruled out: letting the agents decide who controls (each would follow the last message, and two halves of a group two controllers); withdrawing claims after a switch (the same controller keeps it, another one takes over after 0.4 s at the earliest).

--- a/internal/mapcontrol/change.go
+++ b/internal/mapcontrol/change.go
@@ -39,7 +39,7 @@
 		c.Recorder.Record("switch_unresolved", "", events.F("group", g.name), events.F("engines", len(engines)), events.F("size", g.size))
 		return
 	}
-	found, err := rankagent.Resolve(ctx, engines, c.reporters(g))
+	found, err := rankagent.Resolve(ctx, engines, c.clients(g), c.Holder)
 	c.Metrics.Counter("switches_resolved").Inc(1)
 	c.Recorder.Record("switch_resolved", "", events.F("group", g.name), events.F("found", found), events.F("error", errorText(err)))
 }
@@ -72,11 +72,14 @@
 	})
 }
 
-// change prepares a plan on all ranks and switches the group to it.
+// change claims all ranks, prepares a plan on them and switches the group to it.
 func (c *Controller) change(ctx context.Context, g *group, p plan, agents []string, epoch, version int64) {
 	began := time.Now()
 	prepare := rankagent.Order{Operation: rankagent.Prepare, Epoch: epoch, Version: version, Map: expertsByRank(p.maps, len(agents))}
-	err := forEachAgent(agents, func(_ int, agent string) error { return rankagent.NewClient(agent).Prepare(ctx, prepare) })
+	_, err := rankagent.ClaimAll(ctx, clients(agents), c.Holder)
+	if err == nil {
+		err = forEachAgent(agents, func(_ int, agent string) error { return rankagent.NewClient(agent).Prepare(ctx, c.Holder, prepare) })
+	}
 	prepared := time.Since(began)
 	var step int64
 	if err == nil {
@@ -119,7 +122,9 @@
 	if c.ordersLost() {
 		passesAhead = rankagent.LaterPass
 	}
-	return rankagent.Switch(ctx, engines, reporters(agents), rankagent.SwitchRequest{Epoch: epoch, Version: version, HeldRank: heldRank, PassesAhead: passesAhead})
+	return rankagent.Switch(ctx, engines, clients(agents), rankagent.SwitchRequest{
+		Holder: c.Holder, Epoch: epoch, Version: version, HeldRank: heldRank, PassesAhead: passesAhead,
+	})
 }
 
 // lossRecordingEngine calls onLost for each order that gets no answer.
@@ -142,17 +147,17 @@
 	return at != 0 && time.Since(time.Unix(0, at)) < lostOrderWindow
 }
 
-// reporters returns clients of the given agents, by rank.
-func reporters(agents []string) []rankagent.Reporter {
-	out := make([]rankagent.Reporter, len(agents))
+// clients returns clients of the given agents, by rank.
+func clients(agents []string) []rankagent.ClaimingReporter {
+	out := make([]rankagent.ClaimingReporter, len(agents))
 	for rank, address := range agents {
 		out[rank] = rankagent.NewClient(address)
 	}
 	return out
 }
 
-// reporters returns clients of the agents of all known ranks.
-func (c *Controller) reporters(g *group) []rankagent.Reporter {
+// clients returns clients of the agents of all known ranks.
+func (c *Controller) clients(g *group) []rankagent.ClaimingReporter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var agents []string
@@ -161,7 +166,7 @@
 			agents = append(agents, r.Agent)
 		}
 	}
-	return reporters(agents)
+	return clients(agents)
 }
 
 // forEachAgent calls f for all agents in parallel and returns the joined errors.
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,8 +56,10 @@
 
 // Config holds the dependencies of a Controller.
 type Config struct {
-	// Self is the address of this process for datagrams.
+	// Self is the address of this process for datagrams, and Holder identifies this start
+	// of the process.
 	Self     string
+	Holder   string
 	Feed     *feed.Feed
 	Recorder *events.Recorder
 	Metrics  tally.Scope
@@ -251,7 +254,7 @@
 		g.nextPlan = now.Add(planRetryInterval)
 		return
 	}
-	g.highestVersion++
+	g.highestVersion = nextVersion(g.highestVersion)
 	version := g.highestVersion
 	c.Recorder.Record("map_planned", "", events.F("group", g.name), events.F("version", version), events.F("epoch", g.epoch),
 		events.F("before", p.before), events.F("after", p.after), events.F("copies", p.copies), events.F("value_ms", p.value.Milliseconds()), events.F("lasts_ms", demandDuration.Milliseconds()),
@@ -262,6 +265,16 @@
 	go c.change(ctx, g, p, g.agents(), g.epoch, version)
 }
 
+// versionBits is the number of random low bits of a version.
+const versionBits = 20
+
+// nextVersion returns a version above the given one that no other controller chooses for
+// another map: a rank does not report the versions whose copies are in progress, and
+// another controller may plan at the same time.
+func nextVersion(highest int64) int64 {
+	return (highest>>versionBits+1)<<versionBits | rand.Int64N(1<<versionBits)
+}
+
 // holdTimedOut reports whether a pending switch must be resolved because no
 // coordinator completes it: a rank has been held or armed for longer than holdTimeout.
 func (c *Controller) holdTimedOut(g *group, now time.Time) bool {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -134,7 +135,7 @@
 	}
 	p.socket = socket
 	p.control = mapcontrol.New(mapcontrol.Config{
-		Self: config.Listen.Control, Feed: p.feed, Recorder: p.recorder, Metrics: p.metrics.Scope, Engine: adapter.Engine,
+		Self: config.Listen.Control, Holder: fmt.Sprintf("%s/%d", config.Listen.Control, p.start), Feed: p.feed, Recorder: p.recorder, Metrics: p.metrics.Scope, Engine: adapter.Engine,
 		IsController:      func() bool { return p.members.Controller().ControlAddress == config.Listen.Control },
 		ControllerAddress: func() string { return p.members.Controller().ControlAddress },
 		RefusedRecently:   p.gateway.RefusedRecently,
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -265,8 +265,9 @@
 // requests are preferred, then those with the largest processor share, then the one
 // that has run longest, because a restarted gateway then does not take over control. A
 // gateway that has stopped sending messages about its groups is excluded. Two
-// gateways that do not receive each other's messages may both act as controller; the
-// protocol of a switch is safe in that case.
+// gateways that do not receive each other's messages may both act as controller, and so
+// may one that was frozen; the agents of the ranks let one of them change the map at a
+// time.
 func (m *Members) Controller() Peer {
 	self := m.self()
 	alive := m.Alive()
--- a/internal/rankagent/agent.go
+++ b/internal/rankagent/agent.go
@@ -38,6 +38,7 @@
 	Config
 	// retries keeps the gateways' counts of retries: all gateways may restart together.
 	retries *peers.RetryLedger
+	claims  *claims
 
 	mu sync.Mutex
 	// controller is the address of the controller, and lastMessage when a message last
@@ -59,7 +60,9 @@
 }
 
 // New returns an agent. The caller must also call Run.
-func New(c Config) *Agent { return &Agent{Config: c, retries: peers.NewRetryLedger()} }
+func New(c Config) *Agent {
+	return &Agent{Config: c, retries: peers.NewRetryLedger(), claims: newClaims()}
+}
 
 // Run sends reports to the controller until ctx is done.
 func (a *Agent) Run(ctx context.Context) {
--- a/internal/rankagent/calls.go
+++ b/internal/rankagent/calls.go
@@ -18,6 +18,7 @@
 	pathReport  = "/v1/report"
 	pathMaps    = "/v1/maps"
 	pathPrepare = "/v1/prepare"
+	pathClaim   = "/v1/claim"
 )
 
 const (
@@ -34,6 +35,14 @@
 	Error   string  `cbor:"2,keyasint,omitempty"`
 }
 
+// PrepareCall asks an agent to prepare the map of an order.
+type PrepareCall struct {
+	Order
+	// Holder identifies this start of the controller. The call is refused while another
+	// one has the claim.
+	Holder string `cbor:"6,keyasint,omitempty"`
+}
+
 // Client calls the agent of a rank.
 type Client struct{ address string }
 
@@ -55,10 +64,22 @@
 	return m, c.call(ctx, callTimeout, pathMaps, nil, &m)
 }
 
-// Prepare makes the agent prepare a map, and returns when it is ready.
-func (c *Client) Prepare(ctx context.Context, o Order) error {
+// Claim implements ClaimingReporter.
+func (c *Client) Claim(ctx context.Context, holder string) (peers.Report, error) {
+	var r ClaimResult
+	if err := c.call(ctx, callTimeout, pathClaim, &Claim{Holder: holder}, &r); err != nil {
+		return peers.Report{}, err
+	}
+	if !r.Granted {
+		return peers.Report{}, fmt.Errorf("%w: %s", errClaimed, r.Holder)
+	}
+	return r.Report, nil
+}
+
+// Prepare makes the agent prepare a map for a holder, and returns when it is ready.
+func (c *Client) Prepare(ctx context.Context, holder string, o Order) error {
 	var r Result
-	if err := c.call(ctx, prepareTimeout+callTimeout, pathPrepare, &o, &r); err != nil {
+	if err := c.call(ctx, prepareTimeout+callTimeout, pathPrepare, &PrepareCall{Holder: holder, Order: o}, &r); err != nil {
 		return err
 	}
 	if r.Outcome == Done {
--- a/internal/rankagent/group_test.go
+++ b/internal/rankagent/group_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"time"
 
@@ -35,6 +37,10 @@
 	rank  int
 	// highest is the highest version that the rank has prepared.
 	current, prepared, highest int64
+	// claims holds the claim of the rank's agent.
+	claims claims
+	// preparedMap and currentMap are the whole maps of these versions.
+	preparedMap, currentMap [][][]int
 	// armed is the version that the rank is armed for, armedStep the forward pass from
 	// which it uses that version, and held the pass before which the rank is held; 0 if
 	// there is none.
@@ -61,8 +67,8 @@
 	return out
 }
 
-func (g *fakeGroup) reporters() []Reporter {
-	out := make([]Reporter, len(g.ranks))
+func (g *fakeGroup) agents() []ClaimingReporter {
+	out := make([]ClaimingReporter, len(g.ranks))
 	for i, r := range g.ranks {
 		out[i] = r
 	}
@@ -95,11 +101,11 @@
 	g.pass = next
 	for _, r := range g.ranks {
 		if r.armed != 0 && r.armedStep == next {
-			r.current, r.armed = r.armed, 0
+			r.current, r.armed, r.currentMap = r.armed, 0, r.preparedMap
 		}
 	}
 	for _, r := range g.ranks {
-		if r.current != g.ranks[0].current && g.firstMixedPass == 0 {
+		if g.firstMixedPass == 0 && (r.current != g.ranks[0].current || !reflect.DeepEqual(r.currentMap, g.ranks[0].currentMap)) {
 			g.firstMixedPass = next
 		}
 	}
@@ -121,7 +127,22 @@
 func (r *fakeRank) ExpertCounts(context.Context) (ExpertCounts, error) {
 	return ExpertCounts{}, errNoAnswer
 }
-func (r *fakeRank) Maps(context.Context) (Maps, error) { return Maps{}, errNoAnswer }
+
+func (r *fakeRank) Maps(context.Context) (Maps, error) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	return Maps{
+		Epoch: r.group.epoch, Map: RankMap{Version: r.current, Experts: expertsOf(r.currentMap, r.rank)},
+		Prepared: &RankMap{Version: r.prepared, Experts: expertsOf(r.preparedMap, r.rank)},
+	}, nil
+}
+
+func (r *fakeRank) Claim(ctx context.Context, holder string) (peers.Report, error) {
+	if granted, current := r.claims.take(holder); !granted {
+		return peers.Report{}, fmt.Errorf("%w: %s", errClaimed, current)
+	}
+	return r.Report(ctx)
+}
 
 func (r *fakeRank) Order(ctx context.Context, o Order) (Outcome, error) {
 	r.group.mu.Lock()
@@ -151,7 +172,7 @@
 		if o.Version <= r.highest || r.armed != 0 {
 			return Conflict
 		}
-		r.highest, r.prepared = o.Version, o.Version
+		r.highest, r.prepared, r.preparedMap = o.Version, o.Version, o.Map
 	case Arm:
 		if r.armed == o.Version && r.armedStep == o.Step {
 			return Done
@@ -180,6 +201,15 @@
 	return Done
 }
 
+// expertsOf returns the experts by layer that a map assigns to a rank.
+func expertsOf(m [][][]int, rank int) [][]int {
+	var out [][]int
+	for _, ranks := range m {
+		out = append(out, ranks[rank])
+	}
+	return out
+}
+
 func (g *fakeGroup) prepare(version int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/rankagent/server.go
+++ b/internal/rankagent/server.go
@@ -24,6 +24,7 @@
 		a.answer(w, &maps, err)
 	})
 	mux.HandleFunc("POST "+pathPrepare, a.servePrepare)
+	mux.HandleFunc("POST "+pathClaim, a.serveClaim)
 	return mux
 }
 
@@ -65,15 +66,31 @@
 	return r
 }
 
+// serveClaim grants or refuses the claim of a controller.
+func (a *Agent) serveClaim(w http.ResponseWriter, r *http.Request) {
+	c, ok := decodeCall[Claim](w, r)
+	if !ok {
+		return
+	}
+	granted, holder := a.claims.take(c.Holder)
+	if !granted {
+		a.Recorder.Record("claim_refused", "", events.F("claimed_by", c.Holder), events.F("holder", holder))
+		a.answer(w, &ClaimResult{Holder: holder}, nil)
+		return
+	}
+	report, err := a.Engine.Report(r.Context())
+	a.answer(w, &ClaimResult{Granted: true, Holder: holder, Report: report}, err)
+}
+
 // servePrepare prepares the map of an order and responds when it is ready.
 func (a *Agent) servePrepare(w http.ResponseWriter, r *http.Request) {
-	o, ok := decodeCall[Order](w, r)
+	c, ok := decodeCall[PrepareCall](w, r)
 	if !ok {
 		return
 	}
-	err := PrepareMap(r.Context(), a.Engine, *o)
+	err := PrepareMap(r.Context(), claimedEngine{Engine: a.Engine, claims: a.claims, holder: c.Holder}, c.Order)
 	if err != nil {
-		a.Recorder.Record("prepare_failed", "", events.F("version", o.Version), events.F("epoch", o.Epoch), events.F("error", err.Error()))
+		a.Recorder.Record("prepare_failed", "", events.F("version", c.Version), events.F("epoch", c.Epoch), events.F("error", err.Error()))
 	}
 	outcome := Done
 	switch {
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,12 +47,13 @@
 // Switch changes a group to a version of the expert map that all its ranks have
 // prepared. It holds the group before a forward pass at the rank c.HeldRank until every
 // rank is armed for that pass, which makes all ranks change with the same pass. engines
-// holds the ranks in order, and agents the reporter for the machine of each rank.
-// Switch returns the pass.
-func Switch(ctx context.Context, engines []Engine, agents []Reporter, c SwitchRequest) (step int64, err error) {
+// holds the ranks in order, and agents the agent on the machine of each rank. It first
+// claims the ranks: two controllers that act at the same time could each hold the group
+// and release it while the other one arms the ranks. Switch returns the pass.
+func Switch(ctx context.Context, engines []Engine, agents []ClaimingReporter, c SwitchRequest) (step int64, err error) {
 	ctx, cancel := withLease(ctx, SwitchLease)
 	defer cancel()
-	if err := allPrepared(ctx, agents, c.Epoch, c.Version); err != nil {
+	if err := claimPrepared(ctx, agents, c); err != nil {
 		return 0, err
 	}
 	step, err = hold(ctx, engines[c.HeldRank], agents[c.HeldRank], c)
@@ -63,6 +65,8 @@
 
 // SwitchRequest describes a switch of a group to a version of its expert map.
 type SwitchRequest struct {
+	// Holder identifies this start of the controller.
+	Holder         string
 	Epoch, Version int64
 	// HeldRank is the rank whose hold stops the group.
 	HeldRank int
@@ -71,21 +75,19 @@
 	PassesAhead int64
 }
 
-// allPrepared returns an error unless every rank responds now and has prepared the
-// version. If the group were held while a rank does not respond, it would stay held
-// until the rank does.
-func allPrepared(ctx context.Context, agents []Reporter, epoch, version int64) error {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	states, err := reports(ctx, agents)
+// claimPrepared claims all ranks. It returns an error unless every rank responds now and has
+// prepared the version. If the group were held while a rank does not respond, it would stay
+// held until the rank does.
+func claimPrepared(ctx context.Context, agents []ClaimingReporter, c SwitchRequest) error {
+	states, err := ClaimAll(ctx, agents, c.Holder)
 	if err != nil {
 		return err
 	}
 	for rank, s := range states {
-		if s.Epoch != epoch {
+		if s.Epoch != c.Epoch {
 			return errEpoch
 		}
-		if s.Prepared != version {
+		if s.Prepared != c.Version {
 			return fmt.Errorf("rank %d has version %d prepared", rank, s.Prepared)
 		}
 	}
@@ -94,12 +96,13 @@
 
 // Resolve ends a pending switch whose coordinator has stopped. The coordinator may have
 // held the group and armed any of the ranks. engines holds the ranks of the group, and
-// agents the reporters for their machines in the same order. Resolve returns the state
-// of the switch that it found.
-func Resolve(ctx context.Context, engines []Engine, agents []Reporter) (found string, err error) {
+// agents the agents on their machines in the same order. It claims the ranks for holder
+// and does nothing while another controller has a claim. Resolve returns the state of the
+// switch that it found.
+func Resolve(ctx context.Context, engines []Engine, agents []ClaimingReporter, holder string) (found string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
-	states, err := latestReports(ctx, engines, agents)
+	states, err := latestReports(ctx, engines, agents, holder)
 	if err != nil {
 		return "", err
 	}
@@ -124,18 +127,17 @@
 	return "held and armed", finish(ctx, engines, heldRank, epoch, version, step)
 }
 
-// latestReports returns the states of all ranks after the coordinator's last order.
-// Agents read them immediately. If an agent is missing or does not respond, the engines
-// are asked, after a pause in which their reports to other machines become newer than
-// that order.
-func latestReports(ctx context.Context, engines []Engine, agents []Reporter) ([]peers.Report, error) {
-	if len(agents) == len(engines) {
-		reportCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		states, err := reports(reportCtx, agents)
-		cancel()
-		if err == nil {
-			return states, nil
-		}
+// latestReports claims all ranks and returns their states after the last order of the former
+// coordinator. Agents read them immediately. If an agent is missing or does not respond,
+// the engines are asked, after a pause in which their reports to other machines become
+// newer than that order. The agents that do respond must have granted the claim.
+func latestReports(ctx context.Context, engines []Engine, agents []ClaimingReporter, holder string) ([]peers.Report, error) {
+	states, err := ClaimAll(ctx, agents, holder)
+	switch {
+	case errors.Is(err, errClaimed):
+		return nil, err
+	case err == nil && len(agents) == len(engines):
+		return states, nil
 	}
 	if !pause(ctx, maxReportAge) {
 		return nil, ctx.Err()
@@ -241,26 +243,27 @@
 
 // PrepareMap makes one rank copy the experts of a version, and returns when the copies
 // are complete. A rank refuses while it is armed for an earlier version; the order is
-// then sent again.
+// then sent again. A rank that has the version already may have it from another order: its
+// experts are then compared with those of this one.
 func PrepareMap(ctx context.Context, e Engine, o Order) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	unanswered, conflicts := false, 0
 	for {
 		outcome, cause := e.Order(ctx, o)
-		if outcome == Begun || outcome == Done {
-			break
+		if outcome == Begun {
+			return waitPrepared(ctx, e, o, prepareTimeout)
 		}
 		state, err := e.Report(ctx)
 		switch {
 		case err == nil && state.Epoch != o.Epoch:
 			return errEpoch
-		case err == nil && (state.Prepared == o.Version || state.Map == o.Version):
-			return nil
+		case outcome == Done, err == nil && hasVersion(state, o):
+			return errors.Join(waitPrepared(ctx, e, o, prepareTimeout), sameExperts(ctx, e, o))
 		case outcome == Conflict && err == nil && state.Armed == 0 && unanswered:
 			// An earlier order without a response was carried out; its copies may
 			// still be in progress.
-			return waitPrepared(ctx, e, o, lateCopyTimeout)
+			return errors.Join(waitPrepared(ctx, e, o, lateCopyTimeout), sameExperts(ctx, e, o))
 		case outcome == Conflict && err == nil && state.Armed == 0:
 			// The rank may have been armed at the time of the refusal.
 			if conflicts++; conflicts == maxConflicts {
@@ -272,7 +275,46 @@
 			return errors.Join(ctx.Err(), cause, err)
 		}
 	}
-	return waitPrepared(ctx, e, o, prepareTimeout)
+}
+
+// hasVersion reports whether a rank uses the version of an order or has prepared it.
+func hasVersion(s peers.Report, o Order) bool {
+	return s.Prepared == o.Version || s.Map == o.Version
+}
+
+// sameExperts returns an error unless the experts that a rank has for the version of an
+// order are those of the order. A version number alone does not show it: engines do not
+// compare maps.
+func sameExperts(ctx context.Context, e Engine, o Order) error {
+	state, err := e.Report(ctx)
+	if err != nil {
+		return err
+	}
+	maps, err := e.Maps(ctx)
+	if err != nil {
+		return err
+	}
+	has := maps.Map
+	if maps.Prepared != nil && maps.Prepared.Version == o.Version {
+		has = *maps.Prepared
+	}
+	switch {
+	case maps.Epoch != o.Epoch || state.Epoch != o.Epoch:
+		return errEpoch
+	case has.Version != o.Version || len(has.Experts) != len(o.Map):
+		return fmt.Errorf("%w: the rank has version %d with %d layers", errConflict, has.Version, len(has.Experts))
+	}
+	for layer, ranks := range o.Map {
+		if state.Rank >= len(ranks) || !sameSet(ranks[state.Rank], has.Experts[layer]) {
+			return fmt.Errorf("%w: the rank has another map of version %d", errConflict, o.Version)
+		}
+	}
+	return nil
+}
+
+// sameSet reports whether two lists of different numbers hold the same numbers.
+func sameSet(a, b []int) bool {
+	return slices.Equal(slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b)))
 }
 
 // maxConflicts is the number of refusals without a visible reason after which a rank
@@ -293,7 +335,7 @@
 		switch {
 		case err == nil && state.Epoch != o.Epoch:
 			return errEpoch
-		case err == nil && (state.Prepared == o.Version || state.Map == o.Version):
+		case err == nil && hasVersion(state, o):
 			return nil
 		}
 		if !pause(ctx, preparedPoll) {
--- a/internal/rankagent/switch_test.go
+++ b/internal/rankagent/switch_test.go
@@ -37,9 +37,9 @@
 			startGroup(t, g)
 			for version := int64(1); version <= 6; version++ {
 				g.prepare(version)
-				_, err := Switch(context.Background(), g.engines(), g.reporters(), SwitchRequest{Epoch: 1, Version: version, HeldRank: int(version) % 8, PassesAhead: NextPass})
+				_, err := Switch(context.Background(), g.engines(), g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: version, HeldRank: int(version) % 8, PassesAhead: NextPass})
 				if err != nil {
-					_, err := Resolve(context.Background(), g.engines(), nil)
+					_, err := Resolve(context.Background(), g.engines(), nil, "b")
 					is.NoErr(err)
 				}
 				time.Sleep(10 * passTime)
@@ -47,7 +47,7 @@
 				is.Equal(mixed, int64(0)) // pass with different maps
 			}
 			// A late hold may have been carried out after the last switch.
-			_, err := Resolve(context.Background(), g.engines(), nil)
+			_, err := Resolve(context.Background(), g.engines(), nil, "b")
 			is.NoErr(err)
 		})
 	}
@@ -108,9 +108,9 @@
 			for i, e := range engines {
 				engines[i] = failingCoordinator{Engine: e, left: &left, stop: cancel}
 			}
-			_, err := Switch(ctx, engines, g.reporters(), SwitchRequest{Epoch: 1, Version: 1, HeldRank: 2, PassesAhead: NextPass})
+			_, err := Switch(ctx, engines, g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: 1, HeldRank: 2, PassesAhead: NextPass})
 			is.True((err == nil) == (orders >= ranks+2)) // hold, arms, release
-			found, err := Resolve(context.Background(), g.engines(), nil)
+			found, err := Resolve(context.Background(), g.engines(), nil, "b")
 			is.NoErr(err)
 			time.Sleep(10 * passTime)
 			mixed, held, current := g.state()
@@ -144,14 +144,14 @@
 			for i, e := range engines {
 				engines[i] = failingCoordinator{Engine: e, left: &left, stop: cancel}
 			}
-			_, err := Switch(ctx, engines, g.reporters(), SwitchRequest{Epoch: 1, Version: 1, HeldRank: 0, PassesAhead: NextPass})
+			_, err := Switch(ctx, engines, g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: 1, HeldRank: 0, PassesAhead: NextPass})
 			is.True(err != nil)
-			agents := g.reporters()
+			agents := g.agents()
 			if silent {
 				agents = agents[:2]
 			}
 			began := time.Now()
-			found, err := Resolve(context.Background(), g.engines(), agents)
+			found, err := Resolve(context.Background(), g.engines(), agents, "a")
 			is.NoErr(err)
 			is.Equal(found, "held and armed")
 			is.Equal(time.Since(began) < maxReportAge, !silent)
@@ -185,7 +185,7 @@
 			startGroup(t, g)
 			g.prepare(1)
 			before := g.passes()
-			step, err := Switch(context.Background(), g.engines(), g.reporters(), SwitchRequest{Epoch: 1, Version: 1, PassesAhead: ahead})
+			step, err := Switch(context.Background(), g.engines(), g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: 1, PassesAhead: ahead})
 			is.NoErr(err)
 			is.True(step >= before+ahead)
 			time.Sleep(10 * passTime)
@@ -205,7 +205,7 @@
 	startGroup(t, g)
 	g.prepare(1)
 	g.ranks[3].unresponsive = true
-	_, err := Switch(context.Background(), g.engines(), g.reporters(), SwitchRequest{Epoch: 1, Version: 1, HeldRank: 0, PassesAhead: NextPass})
+	_, err := Switch(context.Background(), g.engines(), g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: 1, HeldRank: 0, PassesAhead: NextPass})
 	is.True(err != nil)
 	for _, r := range g.ranks {
 		is.Equal(r.orders, 0)
@@ -250,7 +250,7 @@
 	g.prepare(1)
 	g.epoch = 2
 	began := time.Now()
-	_, err := Switch(context.Background(), g.engines(), g.reporters(), SwitchRequest{Epoch: 1, Version: 1, HeldRank: 0, PassesAhead: NextPass})
+	_, err := Switch(context.Background(), g.engines(), g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: 1, HeldRank: 0, PassesAhead: NextPass})
 	is.True(err != nil)
 	is.True(PrepareMap(context.Background(), g.ranks[0], Order{Operation: Prepare, Epoch: 1, Version: 5}) != nil)
 	is.True(time.Since(began) < time.Second)
@@ -290,7 +290,7 @@
 			for i, r := range g.ranks {
 				engines[i] = delayedReports{r, &sync.Mutex{}, &[]peers.Report{}}
 			}
-			_, err := Switch(context.Background(), engines, g.reporters(), SwitchRequest{Epoch: 1, Version: 1, HeldRank: 1, PassesAhead: NextPass})
+			_, err := Switch(context.Background(), engines, g.agents(), SwitchRequest{Holder: "a", Epoch: 1, Version: 1, HeldRank: 1, PassesAhead: NextPass})
 			g.mu.Lock()
 			held := g.ranks[1].held
 			g.mu.Unlock()
