quarantine: a request that crashes servers after its first event comes under suspicion

Cause: "requests that had events are no suspects: they ran before the one that crashed the server". recordBroken returned for them, and the first event cleared a suspicion.

Fix: a crash after events is evidence of its own. It counts only in a row: a crash has one more than the highest number that was known when the request was sent, so servers that crash together blame nobody. Two make the request suspect (it then runs as a trial until its end), three quarantine it; a complete answer clears it, its first event does not. A crash that a quarantined request explains blames no other request.

Ruled out: blaming all requests with events at once, as for requests without (a dozen sound streams would wait for trials after each crash); counting crashes without order (equal requests on servers that crash together would be quarantined).

Not covered: parts of prompts that crash servers after the first event of different requests; each of these requests is stopped after three crashes of its own.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -23,10 +23,10 @@
 )
 
 // recordBroken logs and counts an attempt whose connection broke before the response was
-// complete. If the server has crashed and had not answered, the request comes under
-// suspicion. sentAt is when the request was sent to the server, and eventsHere the number
-// of events that the server has sent since. Requests that had events are no suspects:
-// they ran before the one that crashed the server. A leaving server ends without a crash.
+// complete. If the server has crashed, the request comes under suspicion: at once if the
+// server had not answered, and otherwise after crashes in a row. sentAt is when the request
+// was sent to the server, and eventsHere the number of events that the server has sent
+// since. A leaving server ends without a crash.
 func (g *Gateway) recordBroken(r *request, p *slot, s sendResult, sentAt time.Time, eventsHere int) {
 	g.Metrics.Broken.Inc(1)
 	server := p.backend.Server
@@ -35,17 +35,21 @@
 	g.Recorder.Record("attempt_broken", r.ID, events.F("server", server.ID), events.F("route", r.route.Name),
 		events.F("account", string(r.account)), events.F("headers", begun), events.F("events", eventsHere),
 		events.F("ms", time.Since(sentAt).Milliseconds()), events.F("parts", strings.Join(parts, ",")), events.F("cause", s.cause()))
-	if eventsHere > 0 || server.Leaving || !refusesConnections(server.Address) {
+	if server.Leaving || !refusesConnections(server.Address) {
 		return
 	}
-	update := g.Quarantine.AddBlame(quarantine.Blame{
+	blame := quarantine.Blame{
 		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.suspects,
 		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10),
 		Begun: begun, Conclusive: p.service.headerLead.isShort(),
-	})
+	}
+	if eventsHere > 0 {
+		blame.Streamed = r.nextStreamed
+	}
+	update := g.Quarantine.AddBlame(blame)
 	state, _ := g.Quarantine.Check(r.fingerprints)
 	g.Metrics.ServersCrashed.Inc(1)
-	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("trial", len(r.suspects) > 0),
+	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("events", eventsHere), events.F("trial", len(r.suspects) > 0),
 		events.F("suspected", formatSuspicions(update.Suspicions)), events.F("doubted", len(update.Doubted)), events.F("quarantined", state == quarantine.Quarantined))
 	g.Suspicions.Publish(update)
 	g.CancelQuarantined()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,6 +226,8 @@
 	suspects []uint64
 	// proven is true once a server has begun to answer the request.
 	proven bool
+	// nextStreamed is the value of quarantine.Blame.Streamed for the current attempt.
+	nextStreamed uint8
 }
 
 // routePriorities is the number of route priorities within each account priority: top,
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -162,7 +162,7 @@
 }
 
 // recordProven records that a server has begun to answer a request, which clears the
-// request of suspicion and ends its trial.
+// request of suspicion and ends its trial, unless servers crashed later in the answer.
 func (g *Gateway) recordProven(r *request) {
 	r.proven = true
 	cleared := g.Quarantine.RecordSuccesses(r.fingerprints)
@@ -170,7 +170,18 @@
 		g.Recorder.Record("suspicion_cleared", r.ID, events.F("count", len(cleared)))
 	}
 	g.Suspicions.Publish(quarantine.Update{Suspicions: cleared, Proven: r.trial.Fingerprints})
-	g.endTrial(r)
+	if state, _ := g.Quarantine.Check(r.fingerprints[:1]); state == quarantine.Clear {
+		g.endTrial(r)
+	}
+}
+
+// recordCompletion records that a server has sent the whole answer to a request.
+func (g *Gateway) recordCompletion(r *request) {
+	cleared := g.Quarantine.RecordCompletion(r.fingerprints[0])
+	if len(cleared) > 0 {
+		g.Recorder.Record("suspicion_cleared", r.ID, events.F("count", len(cleared)))
+	}
+	g.Suspicions.Publish(quarantine.Update{Suspicions: cleared})
 }
 
 // waitingRequests holds the queued requests. They are refused as soon as they are
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -184,6 +184,7 @@
 	watchdog := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	s.sentAt, s.eventsHere = time.Now(), 0
+	s.r.nextStreamed = s.g.Quarantine.NextStreamed(s.r.fingerprints[0])
 	out := s.g.send(ctx, s.r, p, s.lastEvent)
 	s.headersAt = time.Now()
 	if out.verdict != verdict.NotRun {
@@ -198,6 +199,7 @@
 	switch {
 	case out.err == nil:
 		p.service.pool.RecordSuccess(p.backend)
+		s.g.recordCompletion(s.r)
 	case errors.Is(out.err, errSlowServer):
 		// The stream moves because the server is slow; that is not a failure.
 	case out.verdict != verdict.NotRun:
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -66,6 +66,18 @@
 	return e.toSuspicion(fingerprint, now)
 }
 
+// liftBegun clears the crashes that a begun response disproves: those before its events. It
+// returns false if there are none.
+func (r *Registry) liftBegun(fingerprint uint64, e *entry) (s wire.Suspicion, ok bool) {
+	streamed := slices.DeleteFunc(slices.Clone(e.crashes), func(c wire.Crash) bool { return c.Streamed == 0 })
+	if len(streamed) == len(e.crashes) {
+		return wire.Suspicion{}, false
+	}
+	r.lift(fingerprint, e)
+	e.crashes = streamed
+	return e.toSuspicion(fingerprint, r.now()), true
+}
+
 // merge merges s into the registry. It returns the entry and whether its crashes or
 // lifts changed. A longer remaining time is stored but not reported as a change;
 // otherwise processes would forward suspicions to each other without end.
@@ -149,7 +161,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Agent, b.Agent), cmp.Compare(a.ServerStart, b.ServerStart),
 		compareBool(a.BeforeSuspicion, b.BeforeSuspicion), compareBool(a.NotBegun, b.NotBegun),
-		cmp.Compare(a.Unproven, b.Unproven), compareBool(a.Conclusive, b.Conclusive),
+		cmp.Compare(a.Unproven, b.Unproven), compareBool(a.Conclusive, b.Conclusive), cmp.Compare(a.Streamed, b.Streamed),
 	)
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -56,6 +56,9 @@
 
 // noteCrash adds what a crash report says to what is known of the crash.
 func (r *Registry) noteCrash(c wire.Crash) {
+	if c.Streamed > 0 {
+		return
+	}
 	info, known := r.crashes.get(idOf(c))
 	if !known {
 		r.lastCrash = r.now()
@@ -83,6 +86,9 @@
 	count, underSuspicion := 0, false
 	var last wire.Crash
 	for _, c := range e.crashes {
+		if c.Streamed > 0 {
+			continue
+		}
 		if info, _ := r.crashes.get(idOf(c)); evidenceOf(c) < info.strongest {
 			continue
 		}
@@ -92,15 +98,36 @@
 		}
 		last = c
 	}
-	switch {
-	case count >= unconfirmedCrashes, count >= quarantineCrashes && (underSuspicion || e.account != ""):
+	switch streamed := r.streamedCrashes(e); {
+	case count >= unconfirmedCrashes, count >= quarantineCrashes && (underSuspicion || e.account != ""), streamed >= streamedQuarantine:
 		return Quarantined
-	case count > 0:
+	case count > 0, streamed >= streamedSuspicion:
 		return Suspect
 	}
 	return Clear
 }
 
+const (
+	// streamedSuspicion and streamedQuarantine are the numbers of crashes in a row, each
+	// after events of the response, from which on a request is suspect and quarantined. One
+	// such crash says little: a server runs many requests that have sent events, and all of
+	// them break off with it.
+	streamedSuspicion  = 2
+	streamedQuarantine = 3
+)
+
+// streamedCrashes returns the number of servers that crashed one after the other after they
+// had sent events of a response. Servers that crash together count once.
+func (r *Registry) streamedCrashes(e *entry) int {
+	n := 0
+	for _, c := range e.crashes {
+		if info, _ := r.crashes.get(idOf(c)); info.strongest != explained {
+			n = max(n, int(c.Streamed))
+		}
+	}
+	return n
+}
+
 // jointState returns the state of an entry with members. Evidence that was conclusive for
 // its sender is not if the response to a request with other unproven properties had begun.
 func (r *Registry) jointState(e *entry) State {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -168,16 +168,16 @@
 	return out
 }
 
-// recordSuccess records that a request with the fingerprint was answered, and clears a
-// suspicion that is not confirmed. It returns the cleared suspicion, or false if there was
-// none.
+// recordSuccess records that a server has begun to answer a request with the fingerprint,
+// and clears what that disproves of a suspicion that is not confirmed. It returns the
+// suspicion that is left, or false if nothing was cleared.
 func (r *Registry) recordSuccess(fingerprint uint64) (s wire.Suspicion, ok bool) {
 	r.knownSafe.set(fingerprint, struct{}{})
 	e := r.find(fingerprint)
 	if e == nil || r.state(e) != Suspect {
 		return wire.Suspicion{}, false
 	}
-	return r.lift(fingerprint, e), true
+	return r.liftBegun(fingerprint, e)
 }
 
 // Lift clears the crashes of a fingerprint at an operator's request. It returns the
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -43,7 +43,7 @@
 	crash := rapid.Custom(func(t *rapid.T) wire.Crash {
 		return wire.Crash{Agent: fleet.ProcessID(rapid.StringMatching("[ab]").Draw(t, "agent")), ServerStart: rapid.StringMatching("[0-9]").Draw(t, "start"),
 			NotBegun: rapid.Bool().Draw(t, "notBegun"), BeforeSuspicion: rapid.Bool().Draw(t, "beforeSuspicion"),
-			Unproven: rapid.Uint64Range(0, 2).Draw(t, "unproven"), Conclusive: rapid.Bool().Draw(t, "conclusive")}
+			Unproven: rapid.Uint64Range(0, 2).Draw(t, "unproven"), Conclusive: rapid.Bool().Draw(t, "conclusive"), Streamed: rapid.Uint8Range(0, 4).Draw(t, "streamed")}
 	})
 	one := rapid.Custom(func(t *rapid.T) wire.Suspicion {
 		return wire.Suspicion{
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -91,6 +91,8 @@
 	// Begun is true if the response had begun. Conclusive is true if a sound request is
 	// hardly ever in that state.
 	Begun, Conclusive bool
+	// Streamed is set if events of the response had been sent; see wire.Crash.
+	Streamed uint8
 }
 
 // AddBlame records that a server crashed while it ran a request. A fingerprint that is
@@ -100,6 +102,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	crash := wire.Crash{Agent: b.Agent, ServerStart: b.ServerStart, NotBegun: !b.Begun}
+	if b.Streamed > 0 {
+		crash.NotBegun, crash.BeforeSuspicion, crash.Streamed = true, true, b.Streamed
+		s := r.addCrash(b.Request, b.Account, crash)
+		r.confirm([]uint64{b.Request})
+		return Update{Suspicions: []wire.Suspicion{s}}
+	}
 	if len(b.Tried) > 0 {
 		return Update{Suspicions: r.addTrialCrash(b, crash)}
 	}
@@ -180,8 +188,32 @@
 	return d.Sum64()
 }
 
-// RecordSuccesses records that a server answered a request with the fingerprints. It
-// returns the suspicions that this cleared, which must be published.
+// NextStreamed returns the value of Blame.Streamed for a request that is sent now.
+func (r *Registry) NextStreamed(fingerprint uint64) uint8 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.find(fingerprint)
+	if e == nil {
+		return 1
+	}
+	return uint8(min(r.streamedCrashes(e), streamedQuarantine) + 1)
+}
+
+// RecordCompletion records that a server has sent the whole answer to a request, and clears
+// a suspicion that is not confirmed. It returns the cleared suspicions, which must be
+// published.
+func (r *Registry) RecordCompletion(fingerprint uint64) []wire.Suspicion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.find(fingerprint)
+	if e == nil || len(e.crashes) == 0 || r.state(e) == Quarantined {
+		return nil
+	}
+	return []wire.Suspicion{r.lift(fingerprint, e)}
+}
+
+// RecordSuccesses records that a server has begun to answer a request with the
+// fingerprints. It returns the suspicions that this changed, which must be published.
 func (r *Registry) RecordSuccesses(fingerprints []uint64) []wire.Suspicion {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -215,7 +247,9 @@
 	r.confirm(merged)
 	for _, f := range safe {
 		if e := r.find(f); e != nil && r.state(e) == Suspect {
-			cleared = append(cleared, r.lift(f, e))
+			if s, ok := r.liftBegun(f, e); ok {
+				cleared = append(cleared, s)
+			}
 		}
 	}
 	for _, f := range u.Doubted {
@@ -257,7 +291,7 @@
 	_, _ = d.Write(number[:4])
 	for _, c := range e.crashes {
 		_, _ = d.WriteString(string(c.Agent))
-		_, _ = d.Write([]byte{0, flag(c.NotBegun), flag(c.BeforeSuspicion), flag(c.Conclusive)})
+		_, _ = d.Write([]byte{c.Streamed, flag(c.NotBegun), flag(c.BeforeSuspicion), flag(c.Conclusive)})
 		_, _ = d.WriteString(c.ServerStart)
 		binary.LittleEndian.PutUint64(number[:], c.Unproven)
 		_, _ = d.Write(number[:])
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -184,6 +184,10 @@
 	// Conclusive is true if no other set of properties can be the cause as far as the
 	// sender knows.
 	Conclusive bool `cbor:"6,keyasint,omitempty"`
+	// Streamed is set if events of the response had been sent: one more than the highest
+	// Streamed of the crashes of the same request that were known when it was sent. 0 means
+	// that there were no events.
+	Streamed uint8 `cbor:"7,keyasint,omitempty"`
 }
 
 // Suspicion lists the backend server starts that crashed while a request ran on
