gateway: a stopping gateway estimates a stream by its stated length

Cause: a request was taken to end within twice the longest recent duration of its service. That says nothing about a stream which is longer than the recent ones, though the request states how many tokens it may have.

Fix: a service remembers the longest recent time to the first event and the longest time for each token of the stated limit (streams that stay below their limit have a smaller value, so they don't count). A stream is accepted if both, with a quarter more, fit; one that states no limit only if its deadline does. A stream whose turn in the queue comes too late is refused then: it has not run.

Ruled out: the deadline for all streams (8 s: nothing would be accepted after SIGTERM); the smaller estimate that callers send beside the limit (often far off); a number of tokens for each event (not stated by a service without engine parameters).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -47,6 +47,7 @@
 	if ms, err := strconv.Atoi(h.Get("Timeout")); err == nil {
 		c.Timeout, c.HasTimeout = time.Duration(ms)*time.Millisecond, true
 	}
+	c.MaxAnswerTokens, _ = strconv.Atoi(h.Get("Tokens"))
 	if parts := h.Get("Parts"); parts != "" {
 		c.PromptParts = strings.Split(parts, ",")
 	}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -19,6 +19,8 @@
 	LastEvent int64
 	// PromptTokens and AnswerTokens are estimated lengths in tokens; 0 if unknown.
 	PromptTokens, AnswerTokens int
+	// MaxAnswerTokens is the limit of the answer's length in tokens; 0 if there is none.
+	MaxAnswerTokens int
 	// PromptParts holds the IDs of the parts of the prompt that other requests may
 	// contain as well: all but the last.
 	PromptParts []string
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -56,6 +56,7 @@
 	reserve     reserve
 	headerLead  headerLead
 	durations   durations
+	pace        streamPace
 }
 
 const (
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
@@ -12,6 +13,10 @@
 	// durationMargin is the multiple of the longest recent request's duration that a new
 	// request is expected to need at most.
 	durationMargin = 2
+	// streamMargin is the same for a stream, whose stated length is taken into account.
+	streamMargin = 1.25
+	// maxStreamTime bounds the estimate.
+	maxStreamTime = time.Hour
 	// durationPeriod is how long the duration of a request is remembered, at least.
 	durationPeriod = 10 * time.Second
 )
@@ -32,6 +37,25 @@
 	if !g.leaving() || !g.stop.Outlasts(g.latestEnd(r)) {
 		return nil
 	}
+	return g.refusalLeaving()
+}
+
+// refuseLateStart refuses a stream whose turn in the queue came so late that it may not end
+// before a planned stop does.
+func (g *Gateway) refuseLateStart(r *request) *verdict.Error {
+	if !g.leaving() || !r.route.Idempotent() || r.runs > 0 {
+		return nil
+	}
+	now := time.Now()
+	needs := g.services.get(r.service.Name).pace.afterFirstEvent(r.MaxAnswerTokens, now)
+	if needs == 0 || !g.stop.Outlasts(earliest(r.deadline, now.Add(needs))) {
+		return nil
+	}
+	return g.refusalLeaving()
+}
+
+// refusalLeaving is the refusal of a request that another gateway can serve whole.
+func (g *Gateway) refusalLeaving() *verdict.Error {
 	at, _ := g.stop.At()
 	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonLeaving, "the gateway stops in %s",
 		time.Until(at).Round(time.Millisecond)).WithRetryAfter(otherGatewayRetryAfter)
@@ -39,13 +63,92 @@
 
 // latestEnd returns the time by which a request will have ended: its deadline or, if it is
 // idempotent, what requests of its service lately needed, with a margin. One that is not
-// idempotent could not be sent again if its servers turned slow.
+// idempotent could not be sent again if its servers turned slow, and a stream that does not
+// state its length may have any.
 func (g *Gateway) latestEnd(r *request) time.Time {
-	longest := g.services.get(r.service.Name).durations.longest(time.Now())
-	if longest == 0 || !r.route.Idempotent() {
+	if !r.route.Idempotent() {
+		return r.deadline
+	}
+	x, now := g.services.get(r.service.Name), time.Now()
+	var needs time.Duration
+	if r.route.Kind == deployment.Streaming {
+		needs = x.pace.longest(r.MaxAnswerTokens, now)
+	} else {
+		needs = durationMargin * x.durations.longest(now)
+	}
+	if needs == 0 {
 		return r.deadline
 	}
-	return earliest(r.deadline, r.arrived.Add(durationMargin*longest))
+	return earliest(r.deadline, r.arrived.Add(needs))
+}
+
+// recentMax is the largest of the values that were recorded within durationPeriod or up to
+// twice as long ago.
+type recentMax struct {
+	current, former time.Duration
+	// began is when the period of current began; former is of the period before.
+	began time.Time
+}
+
+func (m *recentMax) record(d time.Duration, now time.Time) {
+	m.rotate(now)
+	m.current = max(m.current, d)
+}
+
+// get returns the largest value, 0 if there is none.
+func (m *recentMax) get(now time.Time) time.Duration {
+	m.rotate(now)
+	return max(m.current, m.former)
+}
+
+func (m *recentMax) rotate(now time.Time) {
+	switch age := now.Sub(m.began); {
+	case age >= 2*durationPeriod:
+		m.current, m.former, m.began = 0, 0, now
+	case age >= durationPeriod:
+		m.current, m.former, m.began = 0, m.current, now
+	}
+}
+
+// streamPace knows how long streams lately took. It is safe for concurrent use.
+type streamPace struct {
+	mu sync.Mutex
+	// firstEvent is the time from the arrival of a request to its first event, and perToken
+	// the time from there to its end for each token of its stated limit. Streams that stay
+	// below their limit have a smaller value.
+	firstEvent, perToken recentMax
+}
+
+// record records a stream that ended whole.
+func (p *streamPace) record(firstEvent, rest time.Duration, maxTokens int, now time.Time) {
+	if maxTokens <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.firstEvent.record(firstEvent, now)
+	p.perToken.record(rest/time.Duration(maxTokens), now)
+}
+
+// longest returns how long a stream with a limit of tokens may take from its arrival, 0 if
+// that is not known.
+func (p *streamPace) longest(maxTokens int, now time.Time) time.Duration {
+	rest := p.afterFirstEvent(maxTokens, now)
+	if rest == 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return rest + time.Duration(streamMargin*float64(p.firstEvent.get(now)))
+}
+
+// afterFirstEvent returns how long a stream with a limit of tokens may take from its first
+// event, 0 if that is not known.
+func (p *streamPace) afterFirstEvent(maxTokens int, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rest := streamMargin * float64(p.perToken.get(now)) * float64(max(maxTokens, 0))
+	return time.Duration(min(rest, float64(maxStreamTime)))
 }
 
 // durations knows how long requests lately took, from their arrival to their end. It is
@@ -53,10 +156,7 @@
 type durations struct {
 	mu      sync.Mutex
 	running map[*request]struct{}
-	// current and former are the longest durations in the period that began at began and
-	// in the one before.
-	current, former time.Duration
-	began           time.Time
+	ended   recentMax
 }
 
 // begin and end record the begin and the end of a request.
@@ -72,9 +172,8 @@
 func (t *durations) end(r *request, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rotate(now)
 	delete(t.running, r)
-	t.current = max(t.current, now.Sub(r.arrived))
+	t.ended.record(now.Sub(r.arrived), now)
 }
 
 // longest returns the longest duration of the requests that run or ended recently, 0 if there
@@ -82,19 +181,9 @@
 func (t *durations) longest(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.rotate(now)
-	longest := max(t.current, t.former)
+	longest := t.ended.get(now)
 	for r := range t.running {
 		longest = max(longest, now.Sub(r.arrived))
 	}
 	return longest
 }
-
-func (t *durations) rotate(now time.Time) {
-	switch age := now.Sub(t.began); {
-	case age >= 2*durationPeriod:
-		t.current, t.former, t.began = 0, 0, now
-	case age >= durationPeriod:
-		t.current, t.former, t.began = 0, t.current, now
-	}
-}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -43,6 +45,77 @@
 	is.True(time.Since(began) < 700*time.Millisecond)
 }
 
+// Guards against a stream that is longer than the recent ones and is cut by a planned stop,
+// against a stream of unknown length that may be, and against refusing streams that have the
+// time.
+func TestStreamsThatOutlastPlannedStopAreRefused(t *testing.T) {
+	is := is.New(t)
+	const pace, usual = 20 * time.Millisecond, 10
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		n, _ := strconv.Atoi(r.Header.Get("Length"))
+		for i := range n {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pace)
+		}
+	})
+	w := newTestGateway(t, map[string][]*backend{"model": {b}})
+	stream := func(length, tokens int) (status int, whole bool) {
+		status, _, whole, _ = w.ask(t, "POST", "/stream/x", func(r *http.Request) {
+			r.Header.Set("Length", strconv.Itoa(length))
+			if tokens > 0 {
+				r.Header.Set("Tokens", strconv.Itoa(tokens))
+			}
+		})
+		return status, whole
+	}
+	for _, length := range []int{usual / 2, usual} {
+		status, whole := stream(length, 4*length)
+		is.True(whole && status == http.StatusOK)
+	}
+	status, whole := stream(1, 400) // one that stays far below its limit says little
+	is.True(whole && status == http.StatusOK)
+	w.gateway.StartDrain(time.Now().Add(1100 * time.Millisecond))
+	for _, x := range []struct{ length, tokens, status int }{
+		{80, 320, http.StatusServiceUnavailable}, // takes 1.6 s
+		{usual, 0, http.StatusServiceUnavailable},
+		{usual, 4 * usual, http.StatusOK},     // takes 0.2 s
+		{2 * usual, 8 * usual, http.StatusOK}, // longer than all before, and has the time
+	} {
+		ran := b.ran()
+		status, whole := stream(x.length, x.tokens)
+		is.Equal(status, x.status)
+		is.True(whole)
+		is.Equal(b.ran() > ran, x.status == http.StatusOK)
+	}
+}
+
+// Guards against a stream that waits in the queue until it can no longer end before the
+// planned stop does.
+func TestStreamThatStartsTooLateForPlannedStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	b := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stream/first" {
+			<-release
+		}
+		eventsFrom(1, false)(w, r)
+	})
+	w := newTestGateway(t, map[string][]*backend{"model": {b}})
+	w.gateway.SetLimit("model", 1, 0)
+	w.gateway.services.get("model").pace.record(time.Millisecond, 200*time.Millisecond, 100, time.Now())
+	go func() { w.ask(t, "POST", "/stream/first") }()
+	for b.ran() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	w.gateway.StartDrain(time.Now().Add(900 * time.Millisecond))
+	time.AfterFunc(700*time.Millisecond, func() { close(release) })
+	status, _, whole, _ := w.ask(t, "POST", "/stream/queued", func(r *http.Request) { r.Header.Set("Tokens", "100") })
+	is.True(whole)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(b.ran(), 1)
+}
+
 // Guards against durations that are forgotten at once or kept for ever.
 func TestLongestDurationIsRemembered(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -69,6 +69,11 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *request) {
 	x := g.services.get(r.service.Name)
 	p, refusal := g.waitForRun(ctx, x, r)
+	if refusal == nil {
+		if refusal = g.refuseLateStart(r); refusal != nil {
+			p.release()
+		}
+	}
 	if refusal != nil {
 		g.refuse(w, r, refusal)
 		return
@@ -359,6 +364,10 @@
 
 // complete logs and counts a stream whose response is complete.
 func (s *stream) complete() {
+	if s.events > 0 {
+		now := time.Now()
+		s.service.pace.record(s.firstEvent, now.Sub(s.r.arrived)-s.firstEvent, s.r.MaxAnswerTokens, now)
+	}
 	s.g.finish(s.r, s.status, "answered", s.summary())
 }
 
