cli: further SIGTERMs do not end a process that stops gracefully

Cause: any second signal counted as an order to end at once. Signals come in series; the one that ends a process at once is SIGKILL, and at a terminal a second interrupt.

Fix: after the first signal only SIGINT ends the process at once. TestSecondSignalExits now sends three SIGTERMs before the SIGINT and requires that the process still runs; with the former code it ends.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -42,8 +42,8 @@
 	os.Exit(3)
 }
 
-// Guards against a process that exits abruptly on the first signal or does not
-// exit on the second.
+// Guards against a process that exits abruptly on the first signal, or on further
+// SIGTERMs, which would cut off its requests, or does not exit on a SIGINT after it.
 func TestSecondSignalExits(t *testing.T) {
 	is := is.New(t)
 	c := exec.Command(os.Args[0])
@@ -57,6 +57,22 @@
 	is.NoErr(c.Process.Signal(syscall.SIGTERM))
 	is.True(lines.Scan())
 	is.Equal(lines.Text(), "done")
+	ended := make(chan struct{})
+	go func() {
+		for lines.Scan() {
+			continue
+		}
+		close(ended)
+	}()
+	for range 3 {
+		is.NoErr(c.Process.Signal(syscall.SIGTERM))
+		time.Sleep(50 * time.Millisecond)
+	}
+	select {
+	case <-ended:
+		t.Fatal("the process has ended")
+	default:
+	}
 	is.NoErr(c.Process.Signal(os.Interrupt))
 	_ = c.Wait()
 	is.Equal(c.ProcessState.ExitCode(), exitFailure)
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -8,8 +8,8 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 )
 
-const shutdownHelp = `SIGTERM or SIGINT begins a graceful shutdown. A second signal ends the process
-at once with status 1.`
+const shutdownHelp = `SIGTERM or SIGINT begins a graceful shutdown. A SIGINT after it ends the process
+at once with status 1; further SIGTERMs have no effect.`
 
 func newEntry() *cobra.Command {
 	var file string
