node: a planned stop uses the settings of its moment, and SIGHUP never ends a process

Cause: the stop used the settings of the process's start. By reading: a SIGHUP that arrives before the settings are watched ends the process.

Fix: a change of the settings sets the time to SIGKILL too, and the settings are read once more at SIGTERM, because they may have changed without a signal. SIGHUP is caught from the beginning.

--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -48,16 +48,18 @@
 // fleet is the whole system: real gateway and agent processes, and stand-ins for
 // the store and the backend servers that run in the test process.
 type fleet struct {
-	t        *testing.T
-	store    *platformtest.Store
-	record   *platformtest.RunLog
-	group    *platformtest.Group
-	gateways []*gatewayProcess
-	agents   []*harness.Process
-	engines  []*server
-	plain    []*server
-	config   platformtest.Configuration
-	ports    harness.Ports
+	t *testing.T
+	// directory holds the settings of the processes.
+	directory string
+	store     *platformtest.Store
+	record    *platformtest.RunLog
+	group     *platformtest.Group
+	gateways  []*gatewayProcess
+	agents    []*harness.Process
+	engines   []*server
+	plain     []*server
+	config    platformtest.Configuration
+	ports     harness.Ports
 	// withoutProxies publishes the engines' own addresses: a proxy accepts connections
 	// also while its engine is down.
 	withoutProxies bool
@@ -74,7 +76,7 @@
 // ready.
 func startFleet(t *testing.T, options ...func(*fleet)) *fleet {
 	dir := t.TempDir()
-	f := &fleet{t: t, store: platformtest.NewStore(), record: &platformtest.RunLog{}}
+	f := &fleet{t: t, directory: dir, store: platformtest.NewStore(), record: &platformtest.RunLog{}}
 	for _, set := range options {
 		set(f)
 	}
--- a/integration/soak/stop_test.go
+++ b/integration/soak/stop_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,9 +102,13 @@
 	if *binaries == "" {
 		t.Skip("-bin is not given")
 	}
-	for name, slow := range map[string]struct{ work, step time.Duration }{
-		"servers as usual": {15 * time.Millisecond, 8 * time.Millisecond},
-		"servers slow":     {4 * time.Second, 350 * time.Millisecond},
+	for name, slow := range map[string]struct {
+		work, step time.Duration
+		signals    []syscall.Signal
+	}{
+		"servers as usual":  {15 * time.Millisecond, 8 * time.Millisecond, nil},
+		"servers slow":      {4 * time.Second, 350 * time.Millisecond, nil},
+		"signals in series": {15 * time.Millisecond, 8 * time.Millisecond, []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -128,6 +136,10 @@
 				t.Fatal(err)
 			}
 			for n := 0; s.gateway.Running(); n++ {
+				if n > 0 && len(slow.signals) > 0 {
+					// An error means that the process has just ended.
+					_ = syscall.Kill(s.gateway.PID(), slow.signals[n%len(slow.signals)])
+				}
 				for _, kind := range kinds {
 					s.send(newCallerClient(), s.request(kind, "new", n), false)
 					select {
@@ -148,6 +160,37 @@
 	}
 }
 
+// Guards against a stop that is planned with the time to SIGKILL that held before the
+// settings changed: the requests of its last part are cut off.
+func TestStopUsesSettingsThatChangedRightBefore(t *testing.T) {
+	if *binaries == "" {
+		t.Skip("-bin is not given")
+	}
+	const shorter = 4 * time.Second
+	f := startFleet(t)
+	g := f.gateways[0]
+	file := filepath.Join(f.directory, g.Name+".toml")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(text), fmt.Sprintf("stop_s = %g", stopBound.Seconds()), fmt.Sprintf("stop_s = %g", shorter.Seconds()), 1)
+	if err := os.WriteFile(file, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if err := g.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	const pause = 20 * time.Millisecond
+	for g.Running() && time.Since(began) < shorter {
+		time.Sleep(pause)
+	}
+	if g.Running() {
+		t.Errorf("the gateway still runs %s after SIGTERM", shorter)
+	}
+}
+
 // check checks from both sides of the gateway that each request got a whole answer or a
 // true refusal.
 func (s *stoppedGateway) check(t *testing.T) {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -83,11 +84,14 @@
 	retryExchange *peers.RetryExchange
 	control       *mapcontrol.Controller
 	callers       *http.Server
+	// stopTimeout is the time from SIGTERM to SIGKILL in nanoseconds.
+	stopTimeout atomic.Int64
 }
 
 // RunGateway runs a gateway and logs to w. It returns nil after a graceful
 // shutdown, which begins when ctx is done.
 func RunGateway(ctx context.Context, load Load, adapt func(settings.NodeConfig) Adapter, w io.Writer) error {
+	defer catchHangups()()
 	config, err := load()
 	if err != nil {
 		return err
@@ -114,6 +118,7 @@
 func newGatewayProcess(config settings.NodeConfig, adapter Adapter, w io.Writer) (*gatewayProcess, error) {
 	debug.SetMemoryLimit(int64(memoryFraction * float64(config.Limits.MemoryMB) * 1e6))
 	p := &gatewayProcess{config: config, adapter: adapter, start: fleet.NewStartID()}
+	p.stopTimeout.Store(int64(config.Bounds.StopTimeout()))
 	p.recorder = events.NewRecorder(fleet.ProcessID(config.Name), p.start, w)
 	p.metrics = metrics.New(map[string]string{"process": config.Name})
 	p.members = peers.NewMembers(p.self, config.Peers.Seeds, p.recorder)
@@ -194,6 +199,7 @@
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
+			p.reload(load)
 			p.drain()
 		case <-running.Done():
 		}
@@ -223,7 +229,7 @@
 // open requests until the stop deadline.
 func (p *gatewayProcess) drain() {
 	began := time.Now()
-	deadline := began.Add(p.config.Bounds.StopTimeout() - stopMargin)
+	deadline := began.Add(time.Duration(p.stopTimeout.Load()) - stopMargin)
 	p.gateway.StartDrain(deadline)
 	p.recorder.Record("leaving", "", events.F("until_ms", time.Until(deadline).Milliseconds()))
 	p.sendHellos()
@@ -238,10 +244,22 @@
 // apply applies changed settings. Changes of addresses and machine limits take
 // effect at the next start.
 func (p *gatewayProcess) apply(c settings.NodeConfig) {
+	p.stopTimeout.Store(int64(c.Bounds.StopTimeout()))
 	p.members.SetSeeds(c.Peers.Seeds)
 	p.gateway.SetRevocationDelay(c.Bounds.RevocationDelay())
 }
 
+// reload applies settings that have changed right before a planned stop, without a signal or
+// together with it.
+func (p *gatewayProcess) reload(load Load) {
+	c, err := load()
+	if err != nil {
+		p.recorder.Record("settings_unreadable", "", events.F("cause", "leaving"), events.F("error", err.Error()))
+		return
+	}
+	p.apply(c)
+}
+
 // announce sends periodic hellos to the other gateways until ctx is done.
 func (p *gatewayProcess) announce(ctx context.Context) {
 	tick := time.NewTicker(peers.HelloInterval)
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -23,6 +23,7 @@
 // RunRankAgent runs the agent beside an engine and logs to w. It returns nil
 // when ctx is done.
 func RunRankAgent(ctx context.Context, load Load, adapt func(settings.NodeConfig) Adapter, w io.Writer) error {
+	defer catchHangups()()
 	config, err := load()
 	if err != nil {
 		return err
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -52,3 +52,11 @@
 		}
 	}
 }
+
+// catchHangups keeps a SIGHUP from ending the process before watchSettings receives it. The
+// caller must call release.
+func catchHangups() (release func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return func() { signal.Stop(hangups) }
+}
