feed: a copy of the configuration and its age are one value

Ages are measured with a clock that goes on while a machine is suspended (CLOCK_BOOTTIME): with the monotonic clock a machine that woke cut off from the store would have accepted old keys for the time of its suspension (found by the review by reading; not shown, a test can't suspend a machine). The lease of a switch uses it too, in place of the wall clock, which may step back.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/boottime"
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 )
@@ -103,22 +104,38 @@
 	Servers map[string][]*deployment.Server
 }
 
+// Copy is a snapshot with the time at which it was last known to be complete. The two belong
+// together: a newer snapshot's time says nothing about an older one.
+type Copy struct {
+	*Snapshot
+	// confirmed is that time by boottime, or -1 if there is none.
+	confirmed time.Duration
+}
+
+// Age returns the time since the copy was last known to be complete, or 1<<62 ns if it
+// never was. A copy that lacks a version of the configuration that was in force before a
+// restore of the store is not complete.
+func (c Copy) Age() time.Duration {
+	if c.confirmed < 0 {
+		return 1 << 62
+	}
+	return boottime.Now() - c.confirmed
+}
+
 // Feed maintains the local copy. Its exported methods are safe for concurrent use.
 type Feed struct {
 	source    Source
 	documents Documents
 	recorder  *events.Recorder
-	snapshot  atomic.Pointer[Snapshot]
+	current   atomic.Pointer[Copy]
 	others    Others
-	start     time.Time
-	// The times are in nanoseconds since start. confirmed is the latest time at which the
-	// copy is known to have been complete, and responded the latest time at which the
-	// store is known to have responded; -1 before the first read. connectedSince is the
+	// The times are in nanoseconds by boottime. responded is the latest time at which the
+	// store is known to have responded, -1 before the first read. connectedSince is the
 	// time since which the store has responded from connectedHistory without an outage of
 	// more than outageAfter.
-	confirmed, responded, connectedSince atomic.Int64
-	connectedHistory                     atomic.Pointer[string]
-	changed                              chan struct{}
+	responded, connectedSince atomic.Int64
+	connectedHistory          atomic.Pointer[string]
+	changed                   chan struct{}
 
 	servers       *servers
 	configuration *configuration
@@ -144,36 +161,31 @@
 // New returns an empty feed; Run fills it.
 func New(source Source, documents Documents, recorder *events.Recorder, others Others) *Feed {
 	f := &Feed{
-		source: source, documents: documents, recorder: recorder, start: time.Now(), others: others,
+		source: source, documents: documents, recorder: recorder, others: others,
 		changed: make(chan struct{}, 1),
 		servers: newServers(documents, recorder), configuration: newConfiguration(documents, recorder),
 	}
-	f.confirmed.Store(-1)
 	f.responded.Store(-1)
-	f.snapshot.Store(&Snapshot{})
+	f.current.Store(&Copy{Snapshot: &Snapshot{}, confirmed: -1})
 	return f
 }
 
-// Snapshot returns the current copy.
-func (f *Feed) Snapshot() *Snapshot { return f.snapshot.Load() }
+// Copy returns the current copy.
+func (f *Feed) Copy() Copy { return *f.current.Load() }
+
+// Snapshot returns the current copy without its age.
+func (f *Feed) Snapshot() *Snapshot { return f.current.Load().Snapshot }
 
 // Changed returns a channel that receives a value after the snapshot has changed.
 func (f *Feed) Changed() <-chan struct{} { return f.changed }
 
-// Age returns the time since the copy was last known to be complete, or 1<<62 ns if it
-// never was. A copy that lacks a version of the configuration that was in force before a
-// restore of the store is not complete.
-func (f *Feed) Age() time.Duration { return f.since(&f.confirmed) }
-
 // silence returns the time since the store last responded, or 1<<62 ns if it never did.
-func (f *Feed) silence() time.Duration { return f.since(&f.responded) }
-
-func (f *Feed) since(event *atomic.Int64) time.Duration {
-	at := event.Load()
+func (f *Feed) silence() time.Duration {
+	at := f.responded.Load()
 	if at < 0 {
 		return 1 << 62
 	}
-	return time.Since(f.start) - time.Duration(at)
+	return boottime.Now() - time.Duration(at)
 }
 
 // Connection returns the history of the store that this process is connected to, and how
@@ -186,18 +198,19 @@
 	if f.silence() > outageAfter {
 		return history, 0
 	}
-	return history, time.Since(f.start) - time.Duration(f.connectedSince.Load())
+	return history, boottime.Now() - time.Duration(f.connectedSince.Load())
 }
 
-// confirm records that the store responded with everything it had at the given time, and
-// that the copy was complete unless an accepted version of the configuration is known to be
-// missing.
-func (f *Feed) confirm(at time.Time) {
-	n := max(at.Sub(f.start).Nanoseconds(), f.responded.Load())
-	f.responded.Store(n)
-	if !f.configuration.behind(f.others.HighestConfiguration()) {
-		f.confirmed.Store(n)
+// confirmation records that the store responded with everything it had at the given time. It
+// returns the time up to which the copy is known to have been complete: the given one,
+// unless an accepted version of the configuration is known to be missing.
+func (f *Feed) confirmation(at time.Duration) time.Duration {
+	at = max(at, time.Duration(f.responded.Load()))
+	f.responded.Store(int64(at))
+	if f.configuration.behind(f.others.HighestConfiguration()) {
+		return f.current.Load().confirmed
 	}
+	return at
 }
 
 // Run lists and watches the store until ctx is done.
@@ -213,7 +226,7 @@
 		}
 		switch {
 		case errors.Is(err, ErrCompacted):
-			f.recorder.Record("store_history_lost", "", events.F("age_ms", f.Age().Milliseconds()))
+			f.recorder.Record("store_history_lost", "", events.F("age_ms", f.Copy().Age().Milliseconds()))
 		case errors.Is(err, ErrHistoryChanged):
 			// observe has logged it.
 		default:
@@ -228,7 +241,7 @@
 // logDisconnected logs that the store does not respond, once per outage.
 func (f *Feed) logDisconnected(err error) {
 	if !f.disconnected && err != nil {
-		f.recorder.Record("store_lost", "", events.F("error", err.Error()), events.F("age_ms", f.Age().Milliseconds()))
+		f.recorder.Record("store_lost", "", events.F("error", err.Error()), events.F("age_ms", f.Copy().Age().Milliseconds()))
 	}
 	f.disconnected = true
 }
@@ -236,7 +249,7 @@
 // logReconnected logs the end of an outage.
 func (f *Feed) logReconnected() {
 	if f.disconnected {
-		f.recorder.Record("store_regained", "", events.F("age_ms", f.Age().Milliseconds()))
+		f.recorder.Record("store_regained", "", events.F("age_ms", f.Copy().Age().Milliseconds()))
 	}
 	f.disconnected = false
 }
@@ -257,7 +270,7 @@
 func (f *Feed) readAll(ctx context.Context) (Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	items, at, err := f.source.List(ctx, f.documents.ServersPrefix())
 	if err != nil {
 		return Position{}, err
@@ -274,7 +287,7 @@
 	outage := f.silence() > outageAfter
 	if outage || f.history != f.servers.history {
 		f.connectedHistory.Store(&at.History)
-		f.connectedSince.Store(asked.Sub(f.start).Nanoseconds())
+		f.connectedSince.Store(int64(asked))
 	}
 	f.logReconnected()
 	f.servers.replace(items, f.history, outage)
@@ -285,8 +298,7 @@
 		f.configuration.stored = 0
 	}
 	f.awaitOthers(ctx)
-	f.confirm(asked)
-	f.publish()
+	f.publish(f.confirmation(asked))
 	return at, nil
 }
 
@@ -294,7 +306,7 @@
 // the store may have been restored and this process would not know.
 func (f *Feed) awaitOthers(ctx context.Context) {
 	const poll = 5 * time.Millisecond
-	for ctx.Err() == nil && f.confirmed.Load() < 0 {
+	for ctx.Err() == nil && f.unconfirmed() {
 		if _, known := f.others.HighestConfiguration(); known {
 			return
 		}
@@ -302,6 +314,9 @@
 	}
 }
 
+// unconfirmed reports whether the copy was never known to be complete.
+func (f *Feed) unconfirmed() bool { return f.current.Load().confirmed < 0 }
+
 // follow applies changes until a watch fails or ctx is done. It reports whether any watch
 // succeeded.
 func (f *Feed) follow(ctx context.Context, at Position) (followed bool, err error) {
@@ -323,8 +338,8 @@
 func (f *Feed) nextWait() time.Duration {
 	const unconfirmedWatchWait = watchWait / 8
 	wait := f.servers.nextWait()
-	if f.confirmed.Load() < 0 {
-		wait = min(wait, unconfirmedWatchWait)
+	if f.unconfirmed() {
+		return min(wait, unconfirmedWatchWait)
 	}
 	return wait
 }
@@ -335,11 +350,15 @@
 func (f *Feed) watchOnce(ctx context.Context, after Position, wait time.Duration) (next Position, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	changes, next, err := f.source.Watch(ctx, f.documents.WatchPrefix(), after, wait)
 	if err != nil {
 		return Position{}, false, err
 	}
+	if len(changes) == 0 && boottime.Now()-asked >= wait {
+		// The store ended the wait without a change: the copy was complete until then.
+		asked += wait
+	}
 	f.observe("watch", next)
 	if !next.reachableFrom(after) {
 		return Position{}, false, ErrHistoryChanged
@@ -347,14 +366,12 @@
 	for _, i := range changes {
 		f.applyChange(i)
 	}
-	if len(changes) == 0 && time.Since(asked) >= wait {
-		// The store ended the wait without a change: the copy was complete until then.
-		asked = asked.Add(wait)
-	}
-	unconfirmed := f.confirmed.Load() < 0
-	f.confirm(asked)
+	unconfirmed := f.unconfirmed()
+	confirmed := f.confirmation(asked)
 	if f.servers.expire(f.others.LongestStoreConnection(next.History)) || len(changes) > 0 || unconfirmed {
-		f.publish()
+		f.publish(confirmed)
+	} else {
+		f.current.Store(&Copy{Snapshot: f.Snapshot(), confirmed: confirmed})
 	}
 	return next, len(changes) > 0, nil
 }
@@ -376,16 +393,17 @@
 	}
 }
 
-// publish replaces the snapshot and signals the change.
-func (f *Feed) publish() {
+// publish replaces the snapshot, which is known to have been complete at a time, and signals
+// the change.
+func (f *Feed) publish(confirmed time.Duration) {
 	s := &Snapshot{Servers: map[string][]*deployment.Server{}}
-	if f.confirmed.Load() >= 0 {
+	if confirmed >= 0 {
 		s.Configuration = f.configuration.inForce
 	}
 	for _, server := range f.servers.newestByAddress() {
 		s.Servers[server.Service] = append(s.Servers[server.Service], server)
 	}
-	f.snapshot.Store(s)
+	f.current.Store(&Copy{Snapshot: s, confirmed: confirmed})
 	select {
 	case f.changed <- struct{}{}:
 	default:
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -29,6 +29,38 @@
 	down      bool
 	// restores is the number of restores; each begins a new history.
 	restores int
+	// connection is the number of the current connection. No response arrives on those up
+	// to silent.
+	connection, silent int
+	// calls counts the calls.
+	calls int
+}
+
+// Reconnect implements Source.
+func (s *store) Reconnect() { s.set(func(s *store) { s.connection++ }) }
+
+// silence makes the current connection silent for good.
+func (s *store) silence() { s.set(func(s *store) { s.silent = s.connection }) }
+
+// begin begins a call on the current connection.
+func (s *store) begin() (connection int) {
+	s.set(func(s *store) { s.calls++; connection = s.connection })
+	return connection
+}
+
+// respond returns when a response arrives on a connection, or with an error when ctx is done.
+func (s *store) respond(ctx context.Context, connection int) error {
+	for {
+		silent := false
+		s.set(func(s *store) { silent = connection <= s.silent })
+		if !silent {
+			return ctx.Err()
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
 }
 
 // position returns the current position. The caller holds mu.
@@ -64,7 +96,7 @@
 
 var errDown = errors.New("the store is down")
 
-func newStore() *store { return &store{items: map[string]Item{}} }
+func newStore() *store { return &store{items: map[string]Item{}, silent: -1} }
 
 func (s *store) put(key, value string) {
 	s.mu.Lock()
@@ -93,7 +125,10 @@
 	f(s)
 }
 
-func (s *store) Read(_ context.Context, key string) (Item, bool, string, error) {
+func (s *store) Read(ctx context.Context, key string) (Item, bool, string, error) {
+	if err := s.respond(ctx, s.begin()); err != nil {
+		return Item{}, false, "", err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -103,7 +138,10 @@
 	return i, ok, s.position().History, nil
 }
 
-func (s *store) List(_ context.Context, prefix string) ([]Item, Position, error) {
+func (s *store) List(ctx context.Context, prefix string) ([]Item, Position, error) {
+	if err := s.respond(ctx, s.begin()); err != nil {
+		return nil, Position{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -119,8 +157,11 @@
 }
 
 func (s *store) Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error) {
-	end := time.Now().Add(wait)
+	connection, end := s.begin(), time.Now().Add(wait)
 	for {
+		if err := s.respond(ctx, connection); err != nil {
+			return nil, Position{}, err
+		}
 		changes, at, err := s.since(prefix, after.Revision)
 		if err != nil || len(changes) > 0 || time.Now().After(end) || ctx.Err() != nil {
 			return changes, at, errors.Join(err, ctx.Err())
@@ -257,7 +298,7 @@
 	s.remove("servers/new")
 	s.remove("servers/two")
 	s.set(func(s *store) { s.compacted = s.revision; s.down = false })
-	eventually(t, 2*time.Second, "the store responds again", func() bool { return f.Age() < time.Second })
+	eventually(t, 2*time.Second, "the store responds again", func() bool { return f.Copy().Age() < time.Second })
 	is.Equal(serverIDs(f), "new,two")
 	s.put("servers/two", serverTwo)
 	eventually(t, missingGracePeriod+2*time.Second, "only the server that registered again", func() bool { return serverIDs(f) == "two" })
@@ -287,7 +328,7 @@
 			time.Sleep(outageAfter + 300*time.Millisecond)
 			s.remove("servers/two")
 			s.set(func(s *store) { s.compacted = s.revision; s.down = false })
-			eventually(t, 2*time.Second, "the store responds", func() bool { return f.Age() < time.Second })
+			eventually(t, 2*time.Second, "the store responds", func() bool { return f.Copy().Age() < time.Second })
 			is.Equal(serverIDs(f) == "new,two", x.kept)
 		})
 	}
@@ -358,5 +399,5 @@
 	s.set(func(s *store) { s.down = true })
 	began := time.Now()
 	time.Sleep(1500 * time.Millisecond)
-	is.True(f.Age() > time.Since(began)-watchWait)
+	is.True(f.Copy().Age() > time.Since(began)-watchWait)
 }
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -247,9 +247,9 @@
 	restored := time.Now()
 	s.restore(copied, nil)
 	holds(t, 3*time.Second, "version 9 is in force", func() bool { return version(f) == 9 })
-	is.True(f.Age() > time.Since(restored)-200*time.Millisecond)
+	is.True(f.Copy().Age() > time.Since(restored)-200*time.Millisecond)
 	s.put("config", "9")
-	eventually(t, time.Second, "the copy is complete again", func() bool { return f.Age() < time.Second })
+	eventually(t, time.Second, "the copy is complete again", func() bool { return f.Copy().Age() < time.Second })
 	is.Equal(version(f), int64(9))
 }
 
@@ -272,7 +272,7 @@
 	holds(t, time.Second, "the older version is not in force", func() bool { return version(f) == 0 })
 	s.put("config", "9")
 	eventually(t, time.Second, "version 9", func() bool { return version(f) == 9 })
-	is.True(f.Age() < time.Second)
+	is.True(f.Copy().Age() < time.Second)
 }
 
 // Guards against a process that never serves because what others say never comes.
--- a/internal/feed/servers.go
+++ b/internal/feed/servers.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// minWatchWait limits the number of calls to the store.
+	minWatchWait = 100 * time.Millisecond
 	// missingGracePeriod is how long missing servers are kept after the store responds
 	// again. Entries that expired during the outage are registered again within
 	// about 2 s.
@@ -182,8 +184,8 @@
 // wait ends no later than the time at which any of them is decided, and is shorter than
 // usual because another process may report that the store was available all along.
 func (s *servers) nextWait() time.Duration {
-	// undecidedWatchWait and minWatchWait limit the number of calls to the store.
-	const undecidedWatchWait, minWatchWait = watchWait / 4, 100 * time.Millisecond
+	// undecidedWatchWait limits the number of calls to the store.
+	const undecidedWatchWait = watchWait / 4
 	wait := watchWait
 	for _, e := range s.entries {
 		if !e.missingSince.IsZero() {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -86,7 +86,7 @@
 	g.Metrics.Ended(status, took)
 	fields := []events.Field{
 		events.F("status", status), events.F("outcome", outcome), events.F("ms", took.Milliseconds()),
-		events.F("tried", len(r.tried)), events.F("age_ms", g.Feed.Age().Milliseconds()),
+		events.F("tried", len(r.tried)), events.F("age_ms", g.Feed.Copy().Age().Milliseconds()),
 	}
 	if r.route != nil {
 		fields = append(fields, events.F("route", r.route.Name), events.F("kind", kindName(r.route.Kind)), events.F("urgency", r.urgency))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,13 +155,13 @@
 	return !g.leaving() && g.Feed.Snapshot().Configuration != nil
 }
 
-// keysExpired reports whether the copy of the configuration is too old to accept keys.
-func (g *Gateway) keysExpired() bool {
-	return g.Feed.Age() > time.Duration(g.revocationDelay.Load())-revocationMargin
+// keysExpired reports whether a copy of the configuration is too old to accept its keys.
+func (g *Gateway) keysExpired(age time.Duration) bool {
+	return age > time.Duration(g.revocationDelay.Load())-revocationMargin
 }
 
 // KeysUsable reports whether the gateway can serve requests with keys.
-func (g *Gateway) KeysUsable() bool { return !g.keysExpired() }
+func (g *Gateway) KeysUsable() bool { return !g.keysExpired(g.Feed.Copy().Age()) }
 
 // avoidDuration is how long a server is not used after the controller asked to avoid
 // it. The controller repeats its request several times within this time.
@@ -273,11 +273,12 @@
 // refused.
 func (g *Gateway) accept(w http.ResponseWriter, in *http.Request) (*request, *verdict.Error) {
 	r := &request{RequestInfo: g.Headers.Call(in.Header), in: in, arrived: time.Now()}
-	c := g.Feed.Snapshot().Configuration
+	known := g.Feed.Copy()
+	c := known.Configuration
 	if c == nil {
 		return r, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, "no configuration was read yet").WithRetryAfter(time.Second)
 	}
-	if refusal := g.authorize(c, r); refusal != nil {
+	if refusal := g.authorize(known, r); refusal != nil {
 		return r, refusal
 	}
 	timeout := defaultTimeout
@@ -298,9 +299,10 @@
 	return r, nil
 }
 
-// authorize sets the route, the service and the client account of a request.
-func (g *Gateway) authorize(c *deployment.Configuration, r *request) *verdict.Error {
-	age := g.Feed.Age()
+// authorize sets the route, the service and the client account of a request by a copy of
+// the configuration. The age is that of this copy: a newer one may have been confirmed since.
+func (g *Gateway) authorize(known feed.Copy, r *request) *verdict.Error {
+	c, age := known.Configuration, known.Age()
 	r.route = c.Route(r.in.Host, r.in.URL.EscapedPath())
 	if r.route == nil {
 		return g.refuseUnknown(age, http.StatusNotFound, verdict.ReasonUnknownService, "no route for this host and path")
@@ -311,7 +313,7 @@
 		if account == nil {
 			return g.refuseUnknown(age, http.StatusUnauthorized, verdict.ReasonUnauthenticated, "the key is not known")
 		}
-		if g.keysExpired() {
+		if g.keysExpired(age) {
 			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration,
 				"the keys were last confirmed %s ago", age.Round(time.Millisecond)).WithRetryAfter(otherGatewayRetryAfter)
 		}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -162,6 +162,8 @@
 	return out, feed.Position{Revision: 1}, nil
 }
 
+func (s *fakeStore) Reconnect() {}
+
 func (s *fakeStore) Watch(ctx context.Context, _ string, after feed.Position, wait time.Duration) ([]feed.Item, feed.Position, error) {
 	if err := s.err(); err != nil {
 		return nil, feed.Position{}, err
@@ -502,12 +504,12 @@
 	w.source.mu.Lock()
 	w.source.down = true
 	w.source.mu.Unlock()
-	for w.gateway.Feed.Age() < staleAfter {
+	for w.gateway.Feed.Copy().Age() < staleAfter {
 		time.Sleep(20 * time.Millisecond)
 	}
 	is.Equal(status("/safe/x", wrongKey), 503)
 	is.Equal(status("/none/x"), 503)
-	for w.gateway.Feed.Age() < revocationDelay {
+	for w.gateway.Feed.Copy().Age() < revocationDelay {
 		time.Sleep(20 * time.Millisecond)
 	}
 	before := b.ran()
--- a/internal/rankagent/lease.go
+++ b/internal/rankagent/lease.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/boottime"
 )
 
 // errLease is the error of an order that the coordinator of a switch has not sent by
@@ -13,21 +15,18 @@
 // leasePoll is the time between two checks of the lease against the clocks.
 const leasePoll = 20 * time.Millisecond
 
-// leaseContext expires after the length of a lease by the monotonic or the wall clock, whichever is
-// ahead: after a process was frozen, its monotonic clock or its timers may not have
-// advanced.
+// leaseContext expires after the length of a lease by a clock that goes on while the machine
+// is suspended: after that, the monotonic clock and the timers have not advanced.
 type leaseContext struct {
 	context.Context
-	monotonic time.Time
-	wall      time.Time
-	length    time.Duration
+	began  time.Duration
+	length time.Duration
 }
 
 // withLease returns a context that expires after a lease of the given length.
 func withLease(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc) {
-	now := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	l := leaseContext{Context: ctx, monotonic: now, wall: now.Round(0), length: length}
+	l := leaseContext{Context: ctx, began: boottime.Now(), length: length}
 	go func() {
 		for l.holds() && pause(ctx, leasePoll) {
 			continue
@@ -37,11 +36,7 @@
 	return l, func() { cancel(context.Canceled) }
 }
 
-func (l leaseContext) holds() bool {
-	now := time.Now()
-	elapsed, wallElapsed := now.Sub(l.monotonic), now.Round(0).Sub(l.wall)
-	return elapsed < l.length && wallElapsed < l.length
-}
+func (l leaseContext) holds() bool { return boottime.Now()-l.began < l.length }
 
 // Err returns an error as soon as the lease has expired, even before the context is
 // canceled.
