feed: a silent connection to the store is replaced within 2.8 s

Cause: a watch waits 2.4 s and its response was awaited for 0.9 s more, and nobody asked on another connection meanwhile. After a change the next watch began 0.5 s later on the same connection: if that had become silent in the pause, 3.8 s passed. A full read that began in the silence waited for 2.5 s.

Fix: a call whose response is late (0.35 s beyond the wait of a watch, 1.2 s for a full read) gets a second one on a new connection, and the first response counts. A watch waits no longer than 2.4 s after the last response. Connections without a call are closed after a failure: a pool may hold another silent one. A store that works gets no more calls (TestWorkingStoreGetsNoSecondCalls), but the watch after a change is 0.5 s shorter.

Ruled out: shorter waits for all watches (each call has a price); shorter time-outs (a store that answers in 1.2 s would never be read).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -29,6 +29,14 @@
 	// responseTimeout is how long a response may take beyond the wait of the watch.
 	// The store usually responds in 4 ms, and in up to 0.3 s when it is slow.
 	responseTimeout = 900 * time.Millisecond
+	// secondWatchAfter is the time beyond the wait of a watch after which a second one asks
+	// on a new connection: a connection may be silent for good while others work. With
+	// watchWait it is shorter than the time after which a process must be up to date, 3 s.
+	secondWatchAfter = 350 * time.Millisecond
+	// secondWatchWait is how long the second watch waits for a change.
+	secondWatchWait = time.Millisecond
+	// secondReadAfter is the same as secondWatchAfter for a full read.
+	secondReadAfter = 1200 * time.Millisecond
 	// listTimeout bounds a full read of the entries and the configuration.
 	listTimeout = 2500 * time.Millisecond
 	// minRetryPause and maxRetryPause are the shortest and longest pause after a failed
@@ -84,6 +92,8 @@
 	// position. It returns no changes if there are none within wait, and ErrCompacted
 	// if the store no longer has the changes after that position.
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
+	// Reconnect makes the next call use a new connection. Calls in progress go on.
+	Reconnect()
 }
 
 // Documents defines the key layout of the store and decodes its values.
@@ -144,6 +154,8 @@
 	// histories that this process has seen, the current one included.
 	position Position
 	history  int
+	// heard is when the last response of the store arrived, by boottime.
+	heard time.Duration
 }
 
 // Others tells what other processes know. It is safe for concurrent use.
@@ -231,6 +243,7 @@
 			// observe has logged it.
 		default:
 			f.logDisconnected(err)
+			f.source.Reconnect()
 		}
 		// All processes lose a restored store at the same moment.
 		sleep(ctx, pause/2+rand.N(pause/2))
@@ -256,6 +269,7 @@
 
 // observe records the position of a response and logs a change of the history.
 func (f *Feed) observe(call string, at Position) {
+	f.heard = boottime.Now()
 	if f.history == 0 {
 		f.history = 1
 	} else if !at.reachableFrom(f.position) {
@@ -271,10 +285,14 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	asked := boottime.Now()
-	items, at, err := f.source.List(ctx, f.documents.ServersPrefix())
+	list, err := withSecond(ctx, secondReadAfter, f.source.Reconnect, func(ctx context.Context, _ bool) (r response, err error) {
+		r.items, r.at, err = f.source.List(ctx, f.documents.ServersPrefix())
+		return r, err
+	})
 	if err != nil {
 		return Position{}, err
 	}
+	at := list.at
 	f.observe("list", at)
 	configuration, found, history, err := f.source.Read(ctx, f.documents.ConfigurationKey())
 	if err != nil {
@@ -290,7 +308,7 @@
 		f.connectedSince.Store(int64(asked))
 	}
 	f.logReconnected()
-	f.servers.replace(items, f.history, outage)
+	f.servers.replace(list.items, f.history, outage)
 	f.servers.expire(f.others.LongestStoreConnection(at.History))
 	if found {
 		f.configuration.apply(configuration, f.history)
@@ -302,6 +320,49 @@
 	return at, nil
 }
 
+// response is what a call to the store returned.
+type response struct {
+	items []Item
+	at    Position
+	// asked is when the call began, by boottime.
+	asked time.Duration
+}
+
+// withSecond makes a call, and a second one on a new connection if there is no response
+// within a time; second is true for it. It returns the first response that is no error of
+// the connection, or the last error.
+func withSecond(ctx context.Context, after time.Duration, reconnect func(), call func(ctx context.Context, second bool) (response, error)) (response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type result struct {
+		response
+		err error
+	}
+	results := make(chan result, 2)
+	begin := func(second bool) {
+		go func() {
+			r, err := call(ctx, second)
+			results <- result{r, err}
+		}()
+	}
+	begin(false)
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	for open := 1; ; {
+		select {
+		case <-timer.C:
+			reconnect()
+			begin(true)
+			open++
+		case r := <-results:
+			open--
+			if r.err == nil || open == 0 || errors.Is(r.err, ErrCompacted) || errors.Is(r.err, ErrHistoryChanged) {
+				return r.response, r.err
+			}
+		}
+	}
+}
+
 // awaitOthers waits before the first confirmation until other processes have been heard:
 // the store may have been restored and this process would not know.
 func (f *Feed) awaitOthers(ctx context.Context) {
@@ -341,7 +402,9 @@
 	if f.unconfirmed() {
 		return min(wait, unconfirmedWatchWait)
 	}
-	return wait
+	// The connection may have become silent right after the last response.
+	sinceResponse := boottime.Now() - f.heard
+	return max(min(wait, watchWait-sinceResponse), minWatchWait)
 }
 
 // watchOnce makes one watch call and applies its changes. It returns the position to
@@ -350,30 +413,38 @@
 func (f *Feed) watchOnce(ctx context.Context, after Position, wait time.Duration) (next Position, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+responseTimeout)
 	defer cancel()
-	asked := boottime.Now()
-	changes, next, err := f.source.Watch(ctx, f.documents.WatchPrefix(), after, wait)
+	r, err := withSecond(ctx, wait+secondWatchAfter, f.source.Reconnect, func(ctx context.Context, second bool) (response, error) {
+		r, wait := response{asked: boottime.Now()}, wait
+		if second {
+			wait = secondWatchWait
+			f.recorder.Record("store_watch_late", "", events.F("age_ms", f.Copy().Age().Milliseconds()))
+		}
+		var err error
+		r.items, r.at, err = f.source.Watch(ctx, f.documents.WatchPrefix(), after, wait)
+		if len(r.items) == 0 && boottime.Now()-r.asked >= wait {
+			// The store ended the wait without a change: the copy was complete until then.
+			r.asked += wait
+		}
+		return r, err
+	})
 	if err != nil {
 		return Position{}, false, err
 	}
-	if len(changes) == 0 && boottime.Now()-asked >= wait {
-		// The store ended the wait without a change: the copy was complete until then.
-		asked += wait
-	}
-	f.observe("watch", next)
-	if !next.reachableFrom(after) {
+	f.observe("watch", r.at)
+	if !r.at.reachableFrom(after) {
 		return Position{}, false, ErrHistoryChanged
 	}
-	for _, i := range changes {
+	for _, i := range r.items {
 		f.applyChange(i)
 	}
 	unconfirmed := f.unconfirmed()
-	confirmed := f.confirmation(asked)
-	if f.servers.expire(f.others.LongestStoreConnection(next.History)) || len(changes) > 0 || unconfirmed {
+	confirmed := f.confirmation(r.asked)
+	if f.servers.expire(f.others.LongestStoreConnection(r.at.History)) || len(r.items) > 0 || unconfirmed {
 		f.publish(confirmed)
 	} else {
 		f.current.Store(&Copy{Snapshot: f.Snapshot(), confirmed: confirmed})
 	}
-	return next, len(changes) > 0, nil
+	return r.at, len(r.items) > 0, nil
 }
 
 // applyChange applies one change of the store; keys of other kinds are ignored.
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -5,8 +5,71 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
+// contactTime is the time after a disturbance of the store within which a copy must be up to
+// date again.
+const contactTime = 3 * time.Second
+
+// Guards against a copy that is out of date for too long because the connection of a watch,
+// or of a full read, is silent for good while new connections work.
+func TestSilentConnectionIsReplacedInTime(t *testing.T) {
+	for _, after := range []time.Duration{50 * time.Millisecond, batchPause + 100*time.Millisecond, 2 * time.Second} {
+		t.Run(fmt.Sprintf("silent %s after a change", after), func(t *testing.T) {
+			t.Parallel()
+			s := newStore()
+			s.put("config", "1")
+			f := start(t, s, alone)
+			eventually(t, time.Second, "version 1", func() bool { return version(f) == 1 })
+			s.put("config", "2")
+			eventually(t, time.Second, "version 2", func() bool { return version(f) == 2 })
+			time.Sleep(after)
+			s.silence()
+			s.put("config", "3")
+			eventually(t, contactTime-100*time.Millisecond, "version 3", func() bool { return version(f) == 3 })
+			s.silence() // a pool of connections may hold another one that is silent
+			s.put("config", "4")
+			eventually(t, contactTime-100*time.Millisecond, "version 4", func() bool { return version(f) == 4 })
+		})
+	}
+}
+
+// Guards against a copy that stays out of date after a silence of the store in which a full
+// read began: it would wait for the lost response.
+func TestReadThatBeganInASilenceIsRepeatedInTime(t *testing.T) {
+	for _, length := range []time.Duration{3500 * time.Millisecond, 4500 * time.Millisecond, 5500 * time.Millisecond} {
+		t.Run(length.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newStore()
+			s.put("config", "1")
+			f := start(t, s, alone)
+			eventually(t, time.Second, "version 1", func() bool { return version(f) == 1 })
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				s.silence() // also the connections that are opened meanwhile
+			}
+			s.put("config", "2")
+			eventually(t, contactTime-100*time.Millisecond, "version 2", func() bool { return version(f) == 2 })
+		})
+	}
+}
+
+// Guards against more calls to a store that works: a second call is made only where the
+// first one is late.
+func TestWorkingStoreGetsNoSecondCalls(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	s.put("config", "1")
+	f := start(t, s, alone)
+	eventually(t, time.Second, "version 1", func() bool { return version(f) == 1 })
+	var before, after int
+	s.set(func(s *store) { before = s.calls })
+	time.Sleep(3*watchWait + watchWait/2)
+	s.set(func(s *store) { after = s.calls })
+	is.True(after-before <= 4)
+}
+
 // Guards against the age of a new copy that is taken for that of an older one, with which a
 // revoked key would be accepted in the moment in which the store is reached again.
 func TestAgeIsThatOfTheCopy(t *testing.T) {
