feed: a copy does not get too old for keys after a watch that ended late with a change

Cause: a response with changes confirms the copy as of the call's start only, up to 2.4 s earlier; with the pause of 0.5 s and the next watch of 2.4 s the copy got 5.3 s old.

Fix: a watch waits at most until the copy is 4.1 s old. One more call after a watch that ends late with a change, none otherwise.

Evidence: TestCopyStaysYoungEnoughForKeysAfterALateChange fails on (older than 4.7 s) and passes.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -37,6 +37,9 @@
 	secondWatchWait = time.Millisecond
 	// secondReadAfter is the same as secondWatchAfter for a full read.
 	secondReadAfter = 1200 * time.Millisecond
+	// maxCopyAge bounds the age up to which the copy may get while a watch waits. Keys are
+	// accepted up to an age of 4.7 s.
+	maxCopyAge = 4100 * time.Millisecond
 	// listTimeout bounds a full read of the entries and the configuration.
 	listTimeout = 2500 * time.Millisecond
 	// minRetryPause and maxRetryPause are the shortest and longest pause after a failed
@@ -395,7 +398,9 @@
 }
 
 // nextWait returns how long the next watch waits. It is short until the copy has been
-// confirmed: other processes may say any moment that it is complete.
+// confirmed: other processes may say any moment that it is complete. It is shorter than
+// usual after a watch that ended late with a change, because such a response confirms the
+// copy only up to the time at which it was asked for.
 func (f *Feed) nextWait() time.Duration {
 	const unconfirmedWatchWait = watchWait / 8
 	wait := f.servers.nextWait()
@@ -404,7 +409,7 @@
 	}
 	// The connection may have become silent right after the last response.
 	sinceResponse := boottime.Now() - f.heard
-	return max(min(wait, watchWait-sinceResponse), minWatchWait)
+	return max(min(wait, maxCopyAge-f.Copy().Age(), watchWait-sinceResponse), minWatchWait)
 }
 
 // watchOnce makes one watch call and applies its changes. It returns the position to
--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -10,8 +10,11 @@
 )
 
 // contactTime is the time after a disturbance of the store within which a copy must be up to
-// date again.
-const contactTime = 3 * time.Second
+// date again, and keyTime the age up to which keys are accepted.
+const (
+	contactTime = 3 * time.Second
+	keyTime     = 4700 * time.Millisecond
+)
 
 // Guards against a copy that is out of date for too long because the connection of a watch,
 // or of a full read, is silent for good while new connections work.
@@ -70,6 +73,35 @@
 	is.True(after-before <= 4)
 }
 
+// Guards against a copy that gets too old for keys after a watch that ended late with a
+// change: its response confirms the copy only up to the time at which it was asked for.
+func TestCopyStaysYoungEnoughForKeysAfterALateChange(t *testing.T) {
+	is := is.New(t)
+	s := newStore()
+	s.put("config", "1")
+	f := start(t, s, alone)
+	eventually(t, time.Second, "version 1", func() bool { return version(f) == 1 })
+	oldest := time.Duration(0)
+	for n := range 3 {
+		// The change comes right before the watch ends.
+		var calls, now int
+		s.set(func(s *store) { calls = s.calls })
+		eventually(t, 2*watchWait, "the next watch", func() bool {
+			s.set(func(s *store) { now = s.calls })
+			return now > calls
+		})
+		for end := time.Now().Add(watchWait - 50*time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			oldest = max(oldest, f.Copy().Age())
+		}
+		s.put("config", fmt.Sprint(n+2))
+		for end := time.Now().Add(watchWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			oldest = max(oldest, f.Copy().Age())
+		}
+	}
+	is.True(oldest > watchWait) // the test has met such a change
+	is.True(oldest < keyTime)
+}
+
 // Guards against the age of a new copy that is taken for that of an older one, with which a
 // revoked key would be accepted in the moment in which the store is reached again.
 func TestAgeIsThatOfTheCopy(t *testing.T) {
