bounded: bytes without end are bounded on every interface

Report of other operators: a faulty worker sent bytes that were no answer, without end; the machine that called it kept them all and ran out of memory.

Could happen here, by reading and by tests: - Heads: net/http takes up to 10 MB of headers by default. The clients of engines, of the store, of rank agents, of the entry's agent and of the command line had that limit, a controller of 72 ranks 72 times. Now 64 MB for those being read, short ones excepted. - gateway: responses up to 256 KB each were kept without a bound for all. Now a fifth of the memory, the first 16 KB of each excepted, so that sound servers' short responses find room. Bodies of callers in chunks counted only once they were whole; they count as they arrive, and a body that doesn't arrive within the caller's time gets 408. - An order answered with success and a body that does not end counted as carried out; it is unanswered now. - A failure of a stream longer than 256 KB was cut there and relayed as whole (MIXED). - A refusal whose body never ends held the next attempt up until the server counted as silent (1.8 s); the rest is awaited for 0.1 s. - Calls of the control interfaces (agent, directory, readiness, metrics): headers up to 1 MB and bodies without a limit in time. Now 16 KB and 10 s. - Malformed datagrams were logged one by one; now the first and then one line in 10 s with the number of others and the sender. Requests to backend servers were bounded before (64 KB, 256 KB, events 64 KB, time limits).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/adminhttp"
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/config"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
@@ -64,7 +65,9 @@
 	rate     rate
 	outcomes runOutcomes
 	cache    prefixCache
-	sequence atomic.Uint64
+	// responses bounds the responses of a plain service that are being read.
+	responses *bounded.Budget
+	sequence  atomic.Uint64
 	// openCalls counts the request streams that are being served or whose
 	// answer the peer has not yet confirmed.
 	openCalls atomic.Int64
@@ -99,6 +102,7 @@
 		started:    time.Now(),
 		quarantine: quarantine.NewRegistry(),
 		runs:       newRunTable(),
+		responses:  bounded.NewBudget(maxResponsesBytes),
 		drain:      make(chan struct{}),
 		changed:    make(chan struct{}, 1),
 	}
--- a/internal/agent/dial.go
+++ b/internal/agent/dial.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 )
 
 // dialTimeout limits the connection setup to the backend server.
@@ -36,8 +38,9 @@
 func newTransport(begin func() error) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: bounded.HeaderBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
@@ -70,7 +71,9 @@
 func newServer(c settings.BackendServer) *server {
 	// Set a Transport, because the default one uses the proxy from the
 	// environment.
-	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{MaxIdleConns: 1, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
+		MaxIdleConns: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bounded.HeaderBytes,
+	}}
 	return &server{config: c, client: client, state: serverState{slots: c.Slots}}
 }
 
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -2,19 +2,26 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/ledger"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
-// maxResponseBytes limits the response body of a plain service.
-const maxResponseBytes = 8 << 20
+const (
+	// maxResponseBytes limits the response body of a plain service, and maxResponsesBytes
+	// the bodies that are being read at the same time. The first freeResponseBytes of each do
+	// not count: a server that sends bytes without end must not keep short responses out.
+	maxResponseBytes  = 8 << 20
+	maxResponsesBytes = 64 << 20
+	freeResponseBytes = 64 << 10
+)
 
 // requestIDHeader carries the request ID, which is the same for every repeat of
 // a ticket.
@@ -38,14 +45,15 @@
 		return ledger.Answer{}, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, taken, err := bounded.Read(response.Body, maxResponseBytes, a.responses, freeResponseBytes)
+	a.responses.Release(taken)
+	if errors.Is(err, bounded.ErrTooLong) {
+		return errorAnswer(tooLargeError(response.StatusCode)), nil
+	}
 	if err != nil {
 		return ledger.Answer{}, err
 	}
 	head := &wire.Response{Status: response.StatusCode, Headers: responseHeaders(response.Header)}
-	if len(body) > maxResponseBytes {
-		return errorAnswer(tooLargeError(response.StatusCode)), nil
-	}
 	return ledger.Answer{Response: head, Body: body}, nil
 }
 
--- a/internal/cli/adminclient.go
+++ b/internal/cli/adminclient.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 )
 
 const (
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	shared := &http.Client{Timeout: adminTimeout, Transport: &http.Transport{}}
+	shared := &http.Client{Timeout: adminTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: bounded.HeaderBytes}}
 	var clients []*adminClient
 	for _, base := range f.urls {
 		u, err := url.Parse(base)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -27,6 +27,8 @@
 	err   error
 	// verdict says whether the server may have run the request.
 	verdict verdict.Verdict
+	// bodyBytes is what the buffered body takes from the memory for responses.
+	bodyBytes int64
 }
 
 // send sends a request to the server of a slot and returns when the response headers
@@ -106,8 +108,13 @@
 	return in.Header.Get("Idempotency-Key") != "" || in.Header.Get("X-Idempotency-Key") != ""
 }
 
+// discardTimeout limits the wait for the rest of a response that is not used.
+const discardTimeout = 100 * time.Millisecond
+
 // discard reads the short rest of a response; its connection can then be reused.
 func discard(resp *http.Response) {
+	late := time.AfterFunc(discardTimeout, func() { _ = resp.Body.Close() })
+	defer late.Stop()
 	_, err := io.CopyN(io.Discard, resp.Body, 4<<10)
 	if err != nil && !errors.Is(err, io.EOF) {
 		// The rest is unreadable; closing the body also closes the connection.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,13 +6,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/feed"
@@ -39,9 +39,13 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBodyBytes limits request bodies when the configuration sets no limit.
 	defaultBodyBytes = 1 << 20
-	// bodyMemoryShare is the fraction of the process's memory that request bodies may
-	// use.
-	bodyMemoryShare = 0.25
+	// bodyMemoryShare and answerMemoryShare are the fractions of the process's memory that
+	// request bodies and buffered responses may use.
+	bodyMemoryShare   = 0.25
+	answerMemoryShare = 0.2
+	// freeAnswerBytes is the part of each response that does not count: faulty servers that
+	// fill the memory for responses must not keep short ones of other servers out.
+	freeAnswerBytes = 16 << 10
 	// dialTimeout limits connecting to a backend server, which takes a round trip of
 	// about 1 ms and the server's handshake of 1 ms.
 	dialTimeout = 350 * time.Millisecond
@@ -80,7 +84,7 @@
 	services        *services
 	keepAliveClient *http.Client
 	oneShotClient   *http.Client
-	bodyBytes       atomic.Int64
+	bodies, answers *bounded.Budget
 	stop            *shutdown.Stop
 	waiting         waitingRequests // queued requests
 	// revocationDelay is Config.RevocationDelay in nanoseconds; a reload may change it.
@@ -97,6 +101,8 @@
 		services:        newServices(c.Zone, c.Recorder),
 		keepAliveClient: &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		oneShotClient:   &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
+		bodies:          bounded.NewBudget(int64(bodyMemoryShare * float64(c.MemoryBytes))),
+		answers:         bounded.NewBudget(int64(answerMemoryShare * float64(c.MemoryBytes))),
 		stop:            shutdown.New(),
 	}
 	g.SetRevocationDelay(c.RevocationDelay)
@@ -111,7 +117,7 @@
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		ExpectContinueTimeout:  0,
-		MaxResponseHeaderBytes: 64 << 10,
+		MaxResponseHeaderBytes: bounded.HeaderBytes,
 	}
 }
 
@@ -199,11 +205,13 @@
 // request is a caller's request and its state in the gateway.
 type request struct {
 	RequestInfo
-	in      *http.Request
-	body    []byte
-	route   *deployment.Route
-	service *deployment.Service
-	account fleet.ClientAccount
+	in   *http.Request
+	body []byte
+	// bodyBytes is what body takes from the memory for bodies.
+	bodyBytes int64
+	route     *deployment.Route
+	service   *deployment.Service
+	account   fleet.ClientAccount
 	// urgency is the priority of the client account, or that of the route if the
 	// account has none.
 	urgency int
@@ -253,7 +261,7 @@
 		g.refuse(w, r, refusal)
 		return
 	}
-	defer g.bodyBytes.Add(-int64(len(r.body)))
+	defer g.bodies.Release(r.bodyBytes)
 	defer g.returnRetry(r)
 	times := &g.services.get(r.service.Name).durations
 	times.begin(r)
@@ -368,21 +376,25 @@
 	if r.in.ContentLength > limit {
 		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
 	}
-	if float64(g.bodyBytes.Load()+max(r.in.ContentLength, 0)) > bodyMemoryShare*float64(g.MemoryBytes) {
-		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "the bodies of other requests fill the memory").WithRetryAfter(time.Second)
-	}
 	if r.in.Body == nil || r.in.Body == http.NoBody {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.in.Body, limit))
+	// A caller that sends its body too slowly is not waited for beyond its time limit.
+	deadline := http.NewResponseController(w)
+	_ = deadline.SetReadDeadline(r.deadline)
+	body, taken, err := bounded.Read(http.MaxBytesReader(w, r.in.Body, limit), limit, g.bodies, 0)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
-	}
-	if err != nil {
+	case errors.Is(err, bounded.ErrBudget):
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "%v", err).WithRetryAfter(time.Second)
+	case isTimeout(err):
+		return verdict.Refuse(http.StatusRequestTimeout, verdict.ReasonDeadline, "the body did not arrive in time")
+	case err != nil:
 		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body did not arrive in full: %v", err)
 	}
-	r.body = body
-	g.bodyBytes.Add(int64(len(body)))
+	_ = deadline.SetReadDeadline(time.Time{})
+	r.body, r.bodyBytes = body, taken
 	return nil
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
@@ -27,6 +26,7 @@
 			return
 		}
 		s, body := g.exchange(ctx, r, p)
+		defer g.answers.Release(s.bodyBytes)
 		last = s
 		if s.err == nil && !retryable(s.resp.StatusCode) && s.verdict != verdict.NotRun {
 			g.relayResponse(w, r, s, body)
@@ -45,7 +45,8 @@
 	}
 }
 
-// exchange sends a request and reads the whole response.
+// exchange sends a request and reads the whole response. The caller must release
+// sendResult.bodyBytes.
 func (g *Gateway) exchange(ctx context.Context, r *request, p *slot) (sendResult, []byte) {
 	defer p.release()
 	defer g.endTrial(r)
@@ -61,11 +62,8 @@
 	}
 	var body []byte
 	if s.err == nil {
-		body, s.err = io.ReadAll(io.LimitReader(s.resp.Body, maxBufferedBytes+1))
+		body, s.bodyBytes, s.err = bounded.Read(s.resp.Body, maxBufferedBytes, g.answers, freeAnswerBytes)
 		_ = s.resp.Body.Close()
-		if s.err == nil && len(body) > maxBufferedBytes {
-			s.err = errors.New("the answer is too long to be kept")
-		}
 	}
 	if s.err != nil && s.verdict != verdict.NotRun && ctx.Err() == nil {
 		g.recordBroken(r, p, s, sentAt, 0)
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -38,12 +38,12 @@
 		if errors.Is(err, bufio.ErrBufferFull) && len(e.buf) <= maxEventBytes {
 			continue
 		}
-		if err != nil {
-			return nil, -1, err
-		}
 		if len(e.buf) > maxEventBytes {
 			return nil, -1, errEventTooLong
 		}
+		if err != nil {
+			return nil, -1, err
+		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return e.buf, id, nil
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/balance"
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
@@ -258,6 +259,9 @@
 		}
 		if err != nil {
 			out.err = errBrokenOff
+			if errors.Is(err, errEventTooLong) {
+				out.err = err
+			}
 			return out
 		}
 		if reader.data {
@@ -348,7 +352,8 @@
 		out.err = errRefusedByServer
 	} else if !retryable(out.resp.StatusCode) && !s.headersSent {
 		// The request itself is invalid; another server would respond in the same way.
-		body, err := io.ReadAll(io.LimitReader(out.resp.Body, maxBufferedBytes))
+		body, taken, err := bounded.Read(out.resp.Body, maxBufferedBytes, s.g.answers, freeAnswerBytes)
+		defer s.g.answers.Release(taken)
 		if err == nil {
 			copyHeader(s.w.Header(), s.g.Headers.Answer(out.resp.Header))
 			s.w.WriteHeader(out.resp.StatusCode)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,11 @@
 	idleTimeout = 90 * time.Second
 	// headerBytes limits the size of a request's headers.
 	headerBytes = 64 << 10
+	// callReadTimeout and callHeaderBytes limit the time to read a call to a server that
+	// forwards nothing, and its headers. A map of a large group takes 2 s over the link of
+	// a rank's machine, and preparing it less than 5 s.
+	callReadTimeout = 10 * time.Second
+	callHeaderBytes = 16 << 10
 	// addressLifetime is how long callers cache the gateway addresses. Callers
 	// leave a stopping gateway within three times this time.
 	addressLifetime = 1500 * time.Millisecond
@@ -84,6 +90,7 @@
 	retryExchange *peers.RetryExchange
 	control       *mapcontrol.Controller
 	callers       *http.Server
+	malformedLog  malformedLog
 	// stopTimeout is the time from SIGTERM to SIGKILL in nanoseconds.
 	stopTimeout atomic.Int64
 }
@@ -188,9 +195,9 @@
 	}
 	servers := []*http.Server{
 		p.callers,
-		{Addr: p.config.Listen.Directory, Handler: p.adapter.Directory(p.addresses), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		{Addr: p.config.Listen.Ready, Handler: p.adapter.Ready(p.gateway.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		{Addr: metricsAddress(p.config), Handler: p.metrics.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		controlServer(p.config.Listen.Directory, p.adapter.Directory(p.addresses)),
+		controlServer(p.config.Listen.Ready, p.adapter.Ready(p.gateway.Ready)),
+		controlServer(metricsAddress(p.config), p.metrics.Handler),
 	}
 	p.callers.Addr = p.config.Listen.Callers
 	for _, s := range servers {
@@ -217,6 +224,14 @@
 	return net.JoinHostPort(c.IP, strconv.Itoa(c.Listen.FirstFreePort+metricsPortOffset))
 }
 
+// controlServer returns a server for calls that are not forwarded. Each call is bounded in
+// bytes and time.
+func controlServer(address string, h http.Handler) *http.Server {
+	return &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: callReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: callHeaderBytes,
+	}
+}
+
 func serve(s *http.Server) error {
 	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		return err
@@ -336,12 +351,30 @@
 	return err
 }
 
-func (p *gatewayProcess) malformed(err error) { recordMalformed(p.metrics, p.recorder, err) }
+func (p *gatewayProcess) malformed(err error) { p.malformedLog.record(p.metrics, p.recorder, err) }
+
+// malformedInterval is the time between two log lines about malformed datagrams.
+const malformedInterval = 10 * time.Second
 
-// recordMalformed counts and logs a datagram that can't be decoded or handled.
-func recordMalformed(m *metrics.Metrics, recorder *events.Recorder, err error) {
+// malformedLog counts datagrams that can't be decoded or handled, and logs the first one and
+// then at most one in malformedInterval: a faulty process may send them without end. It is
+// safe for concurrent use.
+type malformedLog struct {
+	mu      sync.Mutex
+	last    time.Time
+	skipped int
+}
+
+func (l *malformedLog) record(m *metrics.Metrics, recorder *events.Recorder, err error) {
 	m.Scope.Counter("datagrams_malformed").Inc(1)
-	recorder.Record("datagram_malformed", "", events.F("error", err.Error()))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); !l.last.IsZero() && now.Sub(l.last) < malformedInterval {
+		l.skipped++
+		return
+	}
+	recorder.Record("datagram_malformed", "", events.F("error", err.Error()), events.F("skipped", l.skipped))
+	l.last, l.skipped = time.Now(), 0
 }
 
 func (p *gatewayProcess) receive(m peers.Message) {
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -48,10 +48,7 @@
 	})
 	recorder.Record("started", "", events.F("zone", config.Zone), events.F("address", address), events.F("engine", config.Rank.Engine))
 	group, running := errgroup.WithContext(ctx)
-	servers := []*http.Server{
-		{Addr: address, Handler: agent.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		{Addr: metricsAddress(config), Handler: processMetrics.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-	}
+	servers := []*http.Server{controlServer(address, agent.Handler()), controlServer(metricsAddress(config), processMetrics.Handler)}
 	for _, s := range servers {
 		group.Go(func() error { return serve(s) })
 	}
@@ -60,8 +57,9 @@
 		watchSettings(running, config, load, recorder, func(c settings.NodeConfig) { agent.SetSeeds(c.Peers.Seeds) })
 		return nil
 	})
+	var malformed malformedLog
 	group.Go(func() error {
-		return socket.Receive(agent.Receive, func(err error) { recordMalformed(processMetrics, recorder, err) })
+		return socket.Receive(agent.Receive, func(err error) { malformed.record(processMetrics, recorder, err) })
 	})
 	group.Go(func() error {
 		<-running.Done()
--- a/internal/peers/socket.go
+++ b/internal/peers/socket.go
@@ -73,7 +73,7 @@
 func (s *Socket) Receive(handle func(Message), malformed func(error)) error {
 	buffer := make([]byte, 64<<10)
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -81,12 +81,11 @@
 			return err
 		}
 		m, err := decode(buffer[:n])
-		if err != nil {
-			malformed(err)
-			continue
+		if err == nil {
+			err = handleMessage(handle, m)
 		}
-		if err := handleMessage(handle, m); err != nil {
-			malformed(err)
+		if err != nil {
+			malformed(fmt.Errorf("from %s: %w", from, err))
 		}
 	}
 }
--- a/internal/rankagent/calls.go
+++ b/internal/rankagent/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 )
 
@@ -47,7 +48,9 @@
 type Client struct{ address string }
 
 // agentClient is shared because all clients then use one connection pool.
-var agentClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second}}
+var agentClient = &http.Client{Transport: &http.Transport{
+	MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second, MaxResponseHeaderBytes: bounded.HeaderBytes,
+}}
 
 // NewClient returns a client for the agent at an address.
 func NewClient(address string) *Client { return &Client{address: address} }
