soak: requests of the route observer count as requests of the retry budget

Cause: the check counted the repeats of all requests that reached servers, and as requests only those of the callers. The route observers send one each 0.12 s to each gateway: with 60 gateways 10,439 of their requests reached servers in a run, and their repeats were compared with what some hundred other requests allow. The rule counts what clients sent on a route to the service, and the observers are clients.

The check counts both sides of the same requests now, with the same bound.

--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -62,7 +62,7 @@
 	attempts := callers.end()
 	time.Sleep(handoverTime)
 	checkInvariants(t, callers, attempts)
-	checkRetryBudget(t, f.record, attempts, 1)
+	checkRetryBudget(t, f.record, slices.Concat(attempts, observer.attempts), 1)
 	checkRecovery(t, callers, attempts, from, to)
 	f.checkCrashes(t)
 	f.checkGroup(t)
--- a/integration/soak/restore_test.go
+++ b/integration/soak/restore_test.go
@@ -135,6 +135,8 @@
 	mu     sync.Mutex
 	faults []string
 	served int
+	// attempts holds the requests that it sent, which count for the retry budget.
+	attempts []attempt
 }
 
 func startRouteObserver(f *fleet) *routeObserver {
@@ -162,10 +164,14 @@
 			continue
 		}
 		sent := time.Now()
-		r := platformtest.Send(ctx, client, g.callers, platformtest.Request{
+		q := platformtest.Request{
 			ID: fmt.Sprintf("%sroute-%d-%d", probePrefix, n, i), Host: host, Kind: "safe", Limit: routeTimeout, Path: "/" + route.name + "/1",
 			Key: fmt.Sprintf("key-%d-%d", accounts-1, keysPerAccount-1),
-		})
+		}
+		o.mu.Lock()
+		o.attempts = append(o.attempts, attempt{Request: q, gateway: g.callers, from: sent})
+		o.mu.Unlock()
+		r := platformtest.Send(ctx, client, g.callers, q)
 		if g.PID() != process {
 			continue
 		}
--- a/integration/soak/retrybudget_test.go
+++ b/integration/soak/retrybudget_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -49,6 +50,13 @@
 				most, largestShare = n, share
 			}
 		}
+		probes := 0
+		for _, a := range record.Arrivals() {
+			if a.Service == service && strings.HasPrefix(a.ID, probePrefix) {
+				probes++
+			}
+		}
+		t.Logf("%s: %d arrivals of probes", service, probes)
 		t.Logf("%s: at most %d repeats in %s, %.2f of what is allowed; %d in all", service, most, retryWindow, largestShare, len(times))
 		if largestShare > target {
 			t.Errorf("BUDGET: %s got %d repeats in %s, %.3f times what is allowed, the target is %.1f", service, most, retryWindow, largestShare, target)
