feed: a version that an ended process had in force is awaited too

Cause: a starting process held back a restored copy only while another process said that it has a higher version in force; when that one ended, the copy counted as complete.

Evidence: TestVersionOfAProcessThatEndedIsAwaited fails without it.

--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -26,6 +26,8 @@
 	history  int
 	// stored is the version that the store last had.
 	stored int64
+	// heard is the highest version that another process said to have in force.
+	heard int64
 	// behindSince is when a version was first known to be missing; zero if none is.
 	behindSince time.Time
 }
@@ -73,20 +75,25 @@
 }
 
 // behind reports whether the store or this process is known to lack a version that was
-// accepted: the store has a lower one than is in force here, or another process has a
-// higher one in force. known is false if other processes may not have been heard yet.
+// accepted: the store has a lower one than is in force here, or another process has or had a
+// higher one in force; it may have ended since. known is false if other processes may not
+// have been heard yet.
 func (c *configuration) behind(others int64, known bool) bool {
 	var version int64
 	if c.inForce != nil {
 		version = c.inForce.Version
 	}
-	if c.stored >= version && others <= version && known {
+	c.heard = max(c.heard, others)
+	if !c.behindSince.IsZero() && time.Since(c.behindSince) >= rewritePeriod {
+		c.heard = others
+	}
+	if c.stored >= version && c.heard <= version && known {
 		c.behindSince = time.Time{}
 		return false
 	}
 	if c.behindSince.IsZero() {
 		c.behindSince = time.Now()
-		c.recorder.Record("configuration_behind", "", events.F("version", version), events.F("stored", c.stored), events.F("others", others), events.F("others_known", known))
+		c.recorder.Record("configuration_behind", "", events.F("version", version), events.F("stored", c.stored), events.F("others", c.heard), events.F("others_known", known))
 	}
 	return time.Since(c.behindSince) < rewritePeriod
 }
--- a/internal/feed/restore_test.go
+++ b/internal/feed/restore_test.go
@@ -275,6 +275,26 @@
 	is.True(f.Copy().Age() < time.Second)
 }
 
+// Guards against a starting process that accepts a restored copy without a version because
+// the only other process that had it in force has ended meanwhile.
+func TestVersionOfAProcessThatEndedIsAwaited(t *testing.T) {
+	t.Parallel()
+	var ended atomic.Bool
+	s := newStore()
+	s.put("config", "4")
+	f := start(t, s, others{configuration: func() (int64, bool) {
+		if ended.Load() {
+			return 0, true
+		}
+		return 9, true
+	}})
+	holds(t, 300*time.Millisecond, "the older version is not in force", func() bool { return version(f) == 0 })
+	ended.Store(true)
+	holds(t, 2*time.Second, "the older version is not in force", func() bool { return version(f) == 0 })
+	s.put("config", "9")
+	eventually(t, time.Second, "version 9", func() bool { return version(f) == 9 })
+}
+
 // Guards against a process that never serves because what others say never comes.
 func TestVersionThatDoesNotComeIsAwaitedForLimitedTime(t *testing.T) {
 	t.Parallel()
