--- a/internal/feed/stale_test.go
+++ b/internal/feed/stale_test.go
@@ -123,7 +123,9 @@
 				default:
 				}
 				c := f.Copy()
-				age, now := c.Age(), time.Now()
+				// Read in this order, a pause between the two makes the age larger.
+				now := time.Now()
+				age := c.Age()
 				mu.Lock()
 				newest := len(written) - 1
 				next := time.Time{}
