--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -379,7 +379,8 @@
 	if r.in.Body == nil || r.in.Body == http.NoBody {
 		return nil
 	}
-	// A caller that sends its body too slowly is not waited for beyond its time limit.
+	// A caller that sends its body too slowly is not waited for beyond its time limit. An
+	// error means that its connection is closed, and reading fails too.
 	deadline := http.NewResponseController(w)
 	_ = deadline.SetReadDeadline(r.deadline)
 	body, taken, err := bounded.Read(http.MaxBytesReader(w, r.in.Body, limit), limit, g.bodies, 0)
