soak: the stop that uses changed settings fails without its fix

TestStopUsesSettingsThatChangedRightBefore passed with the fix taken out: a gateway without requests ends 3.7 s after SIGTERM with a stop of 8 s, and 4 s were allowed. The time to SIGKILL of the test is 3 s now: without the fix the gateway still runs after it, with it the test passes.

--- a/integration/soak/stop_test.go
+++ b/integration/soak/stop_test.go
@@ -166,7 +166,7 @@
 	if *binaries == "" {
 		t.Skip("-bin is not given")
 	}
-	const shorter = 4 * time.Second
+	const shorter = 3 * time.Second
 	f := startFleet(t)
 	g := f.gateways[0]
 	file := filepath.Join(f.directory, g.Name+".toml")
