--- a/review/_standin2/platform/world.go
+++ b/review/_standin2/platform/world.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -108,7 +109,16 @@
 	return l.Addr().String(), nil
 }
 
-// freePorts returns n free ports whose successors by 10 are free as well.
+// Ports of the project's processes are taken from a range below those that outgoing connections
+// use, so that none is lost between the check and the start.
+const (
+	firstPort  = 20000
+	portRange  = 12000
+	portTries  = 2000
+	metricsGap = 10
+)
+
+// freePorts returns n free ports whose successors by metricsGap are free as well.
 func freePorts(n int) ([]int, error) {
 	var open []net.Listener
 	defer func() {
@@ -117,15 +127,15 @@
 		}
 	}()
 	var ports []int
-	for tries := 0; len(ports) < n && tries < 200; tries++ {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(ports) < n && tries < portTries; tries++ {
+		port := firstPort + rand.IntN(portRange)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		open = append(open, l)
-		port := l.Addr().(*net.TCPAddr).Port
-		beside, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+10))
-		if err != nil || port > 64000 {
+		beside, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+metricsGap))
+		if err != nil {
 			continue
 		}
 		open = append(open, beside)
