--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -19,6 +19,10 @@
 	maxStreamTime = time.Hour
 	// durationPeriod is how long the duration of a request is remembered, at least.
 	durationPeriod = 10 * time.Second
+	// earlyStop is the time from the begin of a planned stop in which what recent requests
+	// needed decides whether a new one is accepted. Callers accept that a request of the
+	// first 3 s is ended with the stop; the rest is for a signal that is handled late.
+	earlyStop = 2500 * time.Millisecond
 )
 
 // StartDrain begins a planned stop that ends at a time. The gateway closes each caller's
@@ -47,7 +51,7 @@
 		return nil
 	}
 	now := time.Now()
-	needs := g.services.get(r.service.Name).pace.afterFirstEvent(r.MaxAnswerTokens, now)
+	_, needs := g.streamTime(r, now)
 	if needs == 0 || !g.stop.Outlasts(earliest(r.deadline, now.Add(needs))) {
 		return nil
 	}
@@ -61,20 +65,24 @@
 		time.Until(at).Round(time.Millisecond)).WithRetryAfter(otherGatewayRetryAfter)
 }
 
-// latestEnd returns the time by which a request will have ended: its deadline or, if it is
-// idempotent, what requests of its service lately needed, with a margin. One that is not
-// idempotent could not be sent again if its servers turned slow, and a stream that does not
-// state its length may have any.
+// latestEnd returns the time by which a request will have ended: its deadline or an earlier
+// time that follows from its stated length. Early in a planned stop, what requests of its
+// service lately needed, with a margin, counts for one that is idempotent. One that is not
+// could not be sent again if its servers turned slow.
 func (g *Gateway) latestEnd(r *request) time.Time {
 	if !r.route.Idempotent() {
 		return r.deadline
 	}
-	x, now := g.services.get(r.service.Name), time.Now()
+	now := time.Now()
 	var needs time.Duration
-	if r.route.Kind == deployment.Streaming {
-		needs = x.pace.longest(r.MaxAnswerTokens, now)
-	} else {
-		needs = durationMargin * x.durations.longest(now)
+	switch {
+	case r.route.Kind == deployment.Streaming:
+		first, rest := g.streamTime(r, now)
+		if rest > 0 {
+			needs = first + rest
+		}
+	case g.earlyInStop(r):
+		needs = durationMargin * g.services.get(r.service.Name).durations.longest(now)
 	}
 	if needs == 0 {
 		return r.deadline
@@ -82,6 +90,36 @@
 	return earliest(r.deadline, r.arrived.Add(needs))
 }
 
+// earlyInStop reports whether a request arrived within earlyStop of the begin of a planned
+// stop.
+func (g *Gateway) earlyInStop(r *request) bool {
+	return r.arrived.Sub(g.stop.Began()) <= earlyStop
+}
+
+// streamTime returns how long a stream may take to its first event and from there to its end.
+// rest is 0 if its length is not known.
+func (g *Gateway) streamTime(r *request, now time.Time) (first, rest time.Duration) {
+	if r.MaxAnswerTokens <= 0 {
+		return 0, 0
+	}
+	x := g.services.get(r.service.Name)
+	if g.earlyInStop(r) {
+		return x.pace.expected(r.MaxAnswerTokens, now)
+	}
+	return x.pace.bound(maxEvents(r), r.route, now)
+}
+
+// maxEvents returns the largest number of events that the response to a request may have by
+// its stated length. An event holds the tokens of a forward pass of an engine, and at least
+// one token.
+func maxEvents(r *request) int {
+	tokensPerEvent := 1
+	if e := r.service.Engine; e != nil {
+		tokensPerEvent = max(e.StepsPerPass, 1)
+	}
+	return (r.MaxAnswerTokens + tokensPerEvent - 1) / tokensPerEvent
+}
+
 // recentMax is the largest of the values that were recorded within durationPeriod or up to
 // twice as long ago.
 type recentMax struct {
@@ -113,42 +151,51 @@
 // streamPace knows how long streams lately took. It is safe for concurrent use.
 type streamPace struct {
 	mu sync.Mutex
-	// firstEvent is the time from the arrival of a request to its first event, and perToken
-	// the time from there to its end for each token of its stated limit. Streams that stay
-	// below their limit have a smaller value.
-	firstEvent, perToken recentMax
+	// firstEvent is the time from the arrival of a request to its first event. perToken and
+	// perEvent are the time from there to its end for each token of its stated limit, and for
+	// each event. A stream that stays below its limit has a small perToken, which says
+	// nothing about the next one.
+	firstEvent, perToken, perEvent recentMax
 }
 
-// record records a stream that ended whole.
-func (p *streamPace) record(firstEvent, rest time.Duration, maxTokens int, now time.Time) {
+// record records a stream with a number of events that ended whole.
+func (p *streamPace) record(firstEvent, rest time.Duration, maxTokens, events int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if events > 1 {
+		p.perEvent.record(rest/time.Duration(events-1), now)
+	}
 	if maxTokens <= 0 {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.firstEvent.record(firstEvent, now)
 	p.perToken.record(rest/time.Duration(maxTokens), now)
 }
 
-// longest returns how long a stream with a limit of tokens may take from its arrival, 0 if
-// that is not known.
-func (p *streamPace) longest(maxTokens int, now time.Time) time.Duration {
-	rest := p.afterFirstEvent(maxTokens, now)
-	if rest == 0 {
-		return 0
-	}
+// expected returns how long a stream with a limit of tokens takes to its first event and from
+// there to its end if it stays below its limit as the recent ones did. rest is 0 if that is
+// not known.
+func (p *streamPace) expected(maxTokens int, now time.Time) (first, rest time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return rest + time.Duration(streamMargin*float64(p.firstEvent.get(now)))
+	return withMargin(p.firstEvent.get(now)), times(withMargin(p.perToken.get(now)), maxTokens)
 }
 
-// afterFirstEvent returns how long a stream with a limit of tokens may take from its first
-// event, 0 if that is not known.
-func (p *streamPace) afterFirstEvent(maxTokens int, now time.Time) time.Duration {
+// bound returns how long a stream with a number of events may take to its first event and
+// from there to its end: what its route aims at, or what recent streams took if that is
+// longer. rest is 0 if neither is known.
+func (p *streamPace) bound(events int, route *deployment.Route, now time.Time) (first, rest time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rest := streamMargin * float64(p.perToken.get(now)) * float64(max(maxTokens, 0))
-	return time.Duration(min(rest, float64(maxStreamTime)))
+	first = max(withMargin(p.firstEvent.get(now)), route.TargetLatency)
+	return first, times(max(withMargin(p.perEvent.get(now)), route.TargetGap), events)
+}
+
+func withMargin(d time.Duration) time.Duration { return time.Duration(streamMargin * float64(d)) }
+
+// times returns n times d, or maxStreamTime if that is less.
+func times(d time.Duration, n int) time.Duration {
+	return time.Duration(min(float64(d)*float64(n), float64(maxStreamTime)))
 }
 
 // durations knows how long requests lately took, from their arrival to their end. It is
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 )
 
 // Guards against a request that is passed on although the gateway stops before it can end,
@@ -103,7 +105,7 @@
 	})
 	w := newTestGateway(t, map[string][]*backend{"model": {b}})
 	w.gateway.SetLimit("model", 1, 0)
-	w.gateway.services.get("model").pace.record(time.Millisecond, 200*time.Millisecond, 100, time.Now())
+	w.gateway.services.get("model").pace.record(time.Millisecond, 200*time.Millisecond, 100, 25, time.Now())
 	go func() { w.ask(t, "POST", "/stream/first") }()
 	for b.ran() == 0 {
 		time.Sleep(time.Millisecond)
@@ -116,6 +118,52 @@
 	is.Equal(b.ran(), 1)
 }
 
+// Guards against a request that is accepted late in a planned stop, because recent ones ended
+// soon, and is cut when it takes as long as it may; and against refusing one that surely ends.
+func TestRecentRequestsAreNoBoundLateInPlannedStop(t *testing.T) {
+	is := is.New(t)
+	const pace, limit = 20 * time.Millisecond, 240
+	events := func(w http.ResponseWriter, r *http.Request) {
+		n, _ := strconv.Atoi(r.Header.Get("Length"))
+		for i := range n {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pace)
+		}
+	}
+	w := newTestGateway(t, map[string][]*backend{"model": {newBackend(t, events)}, "plain": {newBackend(t, respond("answer"))}})
+	ask := func(path string, length, tokens int) (status int) {
+		status, _, whole, _ := w.ask(t, "POST", path, func(r *http.Request) {
+			r.Header.Set("Length", strconv.Itoa(length))
+			r.Header.Set("Tokens", strconv.Itoa(tokens))
+		})
+		is.True(whole)
+		return status
+	}
+	for range 5 {
+		is.Equal(ask("/stream/x", 3, limit), http.StatusOK)
+		is.Equal(ask("/safe/1", 0, 0), http.StatusOK)
+	}
+	began := time.Now()
+	w.gateway.StartDrain(began.Add(earlyStop + 2500*time.Millisecond))
+	is.Equal(ask("/stream/x", 3, limit), http.StatusOK) // early
+	time.Sleep(time.Until(began.Add(earlyStop + 100*time.Millisecond)))
+	is.Equal(ask("/stream/x", limit, limit), http.StatusServiceUnavailable) // takes 4.8 s
+	is.Equal(ask("/stream/x", 10, 10), http.StatusOK)                       // 1.2 s at the route's pace
+	is.Equal(ask("/safe/1", 0, 0), http.StatusOK)                           // may take 2 s
+	time.Sleep(time.Until(began.Add(earlyStop + 700*time.Millisecond)))
+	is.Equal(ask("/safe/1", 0, 0), http.StatusServiceUnavailable)
+}
+
+// Guards against a stream of an engine that is refused although its events hold several tokens.
+func TestEventsOfAnEngineHoldTheTokensOfAPass(t *testing.T) {
+	is := is.New(t)
+	r := &request{RequestInfo: RequestInfo{MaxAnswerTokens: 241}, service: &deployment.Service{}}
+	is.Equal(maxEvents(r), 241)
+	r.service.Engine = &deployment.Engine{StepsPerPass: 4}
+	is.Equal(maxEvents(r), 61)
+}
+
 // Guards against durations that are forgotten at once or kept for ever.
 func TestLongestDurationIsRemembered(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -371,7 +371,7 @@
 func (s *stream) complete() {
 	if s.events > 0 {
 		now := time.Now()
-		s.service.pace.record(s.firstEvent, now.Sub(s.r.arrived)-s.firstEvent, s.r.MaxAnswerTokens, now)
+		s.service.pace.record(s.firstEvent, now.Sub(s.r.arrived)-s.firstEvent, s.r.MaxAnswerTokens, s.events, now)
 	}
 	s.g.finish(s.r, s.status, "answered", s.summary())
 }
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -21,8 +21,9 @@
 	ended context.Context
 	end   context.CancelCauseFunc
 
-	mu sync.Mutex
-	at time.Time
+	mu    sync.Mutex
+	began time.Time
+	at    time.Time
 }
 
 // New returns a Stop that is not planned yet.
@@ -39,7 +40,7 @@
 	if !s.at.IsZero() {
 		return
 	}
-	s.at = close.Add(-answerTime)
+	s.began, s.at = time.Now(), close.Add(-answerTime)
 	time.AfterFunc(time.Until(s.at), func() { s.end(errEnded) })
 }
 
@@ -50,6 +51,13 @@
 	return s.at, !s.at.IsZero()
 }
 
+// Began returns when the stop was planned, the zero time if it was not.
+func (s *Stop) Began() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.began
+}
+
 // Ended returns a context that is done when open requests are ended.
 func (s *Stop) Ended() context.Context { return s.ended }
 
