--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -463,7 +463,7 @@
 		}
 	case !strings.HasPrefix(i.Key, f.documents.ServersPrefix()):
 	case i.Deleted:
-		f.servers.remove(i.Key, "deleted")
+		f.servers.remove(i.Key, deleted)
 	default:
 		f.servers.write(i)
 	}
