--- a/integration/soak/crashpart_test.go
+++ b/integration/soak/crashpart_test.go
@@ -137,3 +137,44 @@
 		}
 	}
 }
+
+// Guards against a request that crashes servers anew after each kill of all gateways, when
+// none of them remembers it.
+func TestRequestCrashesOneServerPerKillOfAllGateways(t *testing.T) {
+	if *binaries == "" {
+		t.Skip("-bin is not given")
+	}
+	const lives, sendsPerLife = 3, 3
+	f := startFleet(t, func(f *fleet) { f.withoutProxies = true })
+	f.group.SetCrashPart(crashingPart)
+	for life := range lives {
+		if life > 0 {
+			for _, g := range f.gateways {
+				g.Kill()
+			}
+			for _, g := range f.gateways {
+				if err := g.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			f.waitReady()
+		}
+		for n := range sendsPerLife {
+			time.Sleep(2 * time.Second) // the group forms again
+			q := platformtest.Request{
+				ID: fmt.Sprintf("crash-%d-%d", life, n), Host: host, Kind: "streaming", Limit: 3 * time.Second, Path: "/streaming/crash",
+				Key: "key-0-0", PromptParts: []string{"f0", crashingPart}, Body: "the same",
+			}
+			r := platformtest.Send(context.Background(), &http.Client{}, f.gateways[(life+n)%gateways].callers, q)
+			t.Logf("%s: status %d, %d crashes so far", q.ID, r.Status, f.group.Crashes(crashingPart))
+		}
+		if n := f.group.Crashes(crashingPart); n != life+1 {
+			t.Errorf("the request has crashed %d servers after %d kills of all gateways", n, life)
+		}
+	}
+	if t.Failed() {
+		for _, g := range f.gateways {
+			t.Logf("%s:\n%s", g.Name, tail(g.Log(), 40))
+		}
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
@@ -30,6 +31,9 @@
 type Backend struct {
 	Server *deployment.Server
 
+	// sends is the number of requests that this process has sent to the server.
+	sends atomic.Uint64
+
 	// inFlight is the number of this process's requests at the server.
 	inFlight int
 	// reported is the load from all callers as of reportedAt, in requests, and
@@ -44,6 +48,12 @@
 	evacuatedUntil      time.Time
 }
 
+// CountSend counts a request that is sent to the server, and returns its number.
+func (b *Backend) CountSend() uint64 { return b.sends.Add(1) }
+
+// LastSend returns the number of the last request that was sent to the server.
+func (b *Backend) LastSend() uint64 { return b.sends.Load() }
+
 // load estimates the number of requests at the server. Without a valid report, the other
 // gateways are assumed to have sent as many requests as this one.
 func (b *Backend) load(now time.Time, gateways int) int {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,6 +42,7 @@
 		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.suspects,
 		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10),
 		Begun: begun, Conclusive: p.service.headerLead.isShort(),
+		Forgotten: !g.Suspicions.Remembers() && r.sendNumber == p.backend.LastSend(),
 	}
 	if eventsHere > 0 {
 		blame.Streamed = r.nextStreamed
@@ -49,7 +50,7 @@
 	update := g.Quarantine.AddBlame(blame)
 	state, _ := g.Quarantine.Check(r.fingerprints)
 	g.Metrics.ServersCrashed.Inc(1)
-	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("events", eventsHere), events.F("trial", len(r.suspects) > 0),
+	g.Recorder.Record("server_crashed", r.ID, events.F("server", server.ID), events.F("headers", begun), events.F("events", eventsHere), events.F("trial", len(r.suspects) > 0), events.F("forgotten", blame.Forgotten),
 		events.F("suspected", formatSuspicions(update.Suspicions)), events.F("doubted", len(update.Doubted)), events.F("quarantined", state == quarantine.Quarantined))
 	g.Suspicions.Publish(update)
 	g.CancelQuarantined()
--- a/internal/gateway/crashafterevents_test.go
+++ b/internal/gateway/crashafterevents_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
@@ -73,3 +74,34 @@
 		})
 	}
 }
+
+// Guards against a request that crashes servers anew after each restart of all gateways, and
+// against blaming requests that its servers had begun to run before it.
+func TestOneCrashQuarantinesIfOthersMayBeForgotten(t *testing.T) {
+	const events, besides = 1, 4
+	is := is.New(t)
+	var crashes atomic.Int64
+	var servers []*backend
+	for range 2 {
+		servers = append(servers, newBackendCrashingAfter(t, events, &crashes))
+	}
+	w := newTestGateway(t, map[string][]*backend{"model": servers})
+	w.gateway.Suspicions = localSuspicions{trials: quarantine.NewTrials(), forgotten: true}
+	var beside sync.WaitGroup
+	for n := range besides {
+		beside.Go(func() {
+			status, body, whole, _ := w.ask(t, "POST", fmt.Sprintf("/stream/sound-%d", n))
+			if !whole || status != http.StatusOK {
+				t.Errorf("a sound request ended with %d %s", status, body)
+			}
+		})
+	}
+	time.Sleep(40 * time.Millisecond)
+	for n := range 3 {
+		status, _, whole, _ := w.ask(t, "POST", "/stream/"+crashPart)
+		is.True(!whole || status != http.StatusOK)
+		is.True(n == 0 || status == http.StatusServiceUnavailable)
+	}
+	beside.Wait()
+	is.Equal(crashes.Load(), int64(1))
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -47,6 +47,7 @@
 		g.recordRepeat(r, p)
 	}
 	r.tried = append(r.tried, p.backend.Server.ID)
+	r.sendNumber = p.backend.CountSend()
 	resp, err := client.Do(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		s := sendResult{err: err, verdict: verdict.MayHaveRun}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,8 +234,10 @@
 	suspects []uint64
 	// proven is true once a server has begun to answer the request.
 	proven bool
-	// nextStreamed is the value of quarantine.Blame.Streamed for the current attempt.
+	// nextStreamed is the value of quarantine.Blame.Streamed for the current attempt, and
+	// sendNumber its number among the requests that were sent to its server.
 	nextStreamed uint8
+	sendNumber   uint64
 }
 
 // routePriorities is the number of route priorities within each account priority: top,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,7 +29,11 @@
 )
 
 // localSuspicions is the exchange of a gateway that has no others beside it.
-type localSuspicions struct{ trials *quarantine.Trials }
+type localSuspicions struct {
+	trials *quarantine.Trials
+	// forgotten is true if earlier crashes may have been forgotten.
+	forgotten bool
+}
 
 func (localSuspicions) Publish(quarantine.Update) {}
 
@@ -39,6 +43,8 @@
 
 func (l localSuspicions) EndTrial(_ string, id uint64) { l.trials.End(id) }
 
+func (l localSuspicions) Remembers() bool { return !l.forgotten }
+
 // testHeaders implements Headers with header names of the tests.
 type testHeaders struct{}
 
@@ -233,7 +239,7 @@
 	budgets.SetFixed(100, 100)
 	g := New(Config{Feed: f, Headers: testHeaders{}, Recorder: recorder, Metrics: NewMetrics(tally.NoopScope),
 		RevocationDelay: revocationDelay, Retries: budgets, AnnounceRetry: func(string) {}, MemoryBytes: 1 << 28,
-		Quarantine: quarantine.NewRegistry(), Suspicions: localSuspicions{quarantine.NewTrials()}})
+		Quarantine: quarantine.NewRegistry(), Suspicions: localSuspicions{trials: quarantine.NewTrials()}})
 	g.SetGateways(1, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,6 +35,9 @@
 	BeginTrial(ctx context.Context, service string, t quarantine.Trial) (granted, decided bool)
 	// EndTrial ends a trial that has begun.
 	EndTrial(service string, id uint64)
+	// Remembers reports whether the gateways know of all crashes whose suspicions have not
+	// expired.
+	Remembers() bool
 }
 
 // fingerprints returns the fingerprint of the request, and those of the parts of its
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	p.recorder.Record("started", "", events.F("zone", config.Zone), events.F("callers", config.Listen.Callers), events.F("control", config.Listen.Control))
+	p.recorder.Record("started", "", events.F("zone", config.Zone), events.F("callers", config.Listen.Callers), events.F("control", config.Listen.Control), events.F("first_start", config.FirstStart))
 	err = p.run(ctx, load)
 	p.recorder.Record("stopped", "", events.F("error", errorText(err)))
 	return errors.Join(err, p.metrics.Close())
@@ -132,6 +132,9 @@
 	p.feed = feed.New(adapter.Source, adapter.Documents, p.recorder, p.members)
 	registry := quarantine.NewRegistry()
 	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
+	if config.FirstStart {
+		p.suspicions.KnowMemory(quarantine.SuspicionLifetime)
+	}
 	p.retries = retry.NewServiceBudgets(config.Bounds.RetryRatio*retryShare, time.Duration(config.Bounds.RetryWindowS*float64(time.Second)))
 	p.retryExchange = peers.NewRetryExchange(p.self, p.members, p.retries, p.send)
 	p.gateway = gateway.New(gateway.Config{
@@ -317,6 +320,7 @@
 // sendHello completes a Hello and sends it.
 func (p *gatewayProcess) sendHello(hello *peers.Hello, to ...string) {
 	hello.Suspicions = p.suspicions.Digest()
+	hello.RemembersMS = p.suspicions.Memory().Milliseconds()
 	hello.Agents = p.retryExchange.HeardAgents()
 	for _, address := range to {
 		p.send(address, hello)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -64,6 +64,9 @@
 	Suspicions uint64 `cbor:"3,keyasint,omitempty"`
 	// Agents holds the addresses of some rank agents that the sender has heard itself.
 	Agents []string `cbor:"4,keyasint,omitempty"`
+	// RemembersMS is for how long the sender knows of the crashes of servers, in
+	// milliseconds; see SuspicionExchange.Memory.
+	RemembersMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // RetryRecord says what a gateway has counted for the retry budget of one service. It is
--- a/internal/peers/suspicions.go
+++ b/internal/peers/suspicions.go
@@ -34,16 +34,41 @@
 	changed func()
 
 	mu sync.Mutex
+	// remembersSince is the time since which this gateway, or one that has told it its
+	// suspicions, knows of all crashes.
+	remembersSince time.Time
 	// pending holds the channels on which the replies to this gateway's TrialRequests
 	// are expected, by ID.
 	pending map[uint64]chan TrialReply
 }
 
-// NewSuspicionExchange returns an exchange for the gateway with the control address self.
+// NewSuspicionExchange returns an exchange for the gateway with the control address self. It
+// knows of no crash before now.
 func NewSuspicionExchange(self string, registry *quarantine.Registry, members *Members, send func(string, Message) error, changed func()) *SuspicionExchange {
 	return &SuspicionExchange{
 		self: self, registry: registry, members: members, trials: quarantine.NewTrials(), send: send, changed: changed,
-		pending: map[uint64]chan TrialReply{},
+		pending: map[uint64]chan TrialReply{}, remembersSince: time.Now(),
+	}
+}
+
+// Memory returns for how long the gateways know of all crashes, at most
+// quarantine.SuspicionLifetime. They forget them when all of them end together.
+func (x *SuspicionExchange) Memory() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return min(time.Since(x.remembersSince), quarantine.SuspicionLifetime)
+}
+
+// Remembers implements gateway.Suspicions.
+func (x *SuspicionExchange) Remembers() bool { return x.Memory() >= quarantine.SuspicionLifetime }
+
+// KnowMemory records that this gateway knows of all crashes within a time until now.
+func (x *SuspicionExchange) KnowMemory(memory time.Duration) {
+	since := time.Now().Add(-min(max(memory, 0), quarantine.SuspicionLifetime))
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if since.Before(x.remembersSince) {
+		x.remembersSince = since
 	}
 }
 
@@ -77,9 +102,14 @@
 // Digest returns the digest for the next Hello.
 func (x *SuspicionExchange) Digest() uint64 { return x.registry.Digest() }
 
-// HandleHello sends this gateway's suspicions to a gateway that has others.
+// HandleHello sends this gateway's suspicions to a gateway that has others. That gateway does
+// the same, so this one soon knows what that one does.
 func (x *SuspicionExchange) HandleHello(h *Hello) {
-	if h.From.ControlAddress == x.self || h.Suspicions == x.registry.Digest() {
+	if h.From.ControlAddress == x.self {
+		return
+	}
+	x.KnowMemory(time.Duration(h.RemembersMS) * time.Millisecond)
+	if h.Suspicions == x.registry.Digest() {
 		return
 	}
 	x.sendTo(h.From.ControlAddress, quarantine.Update{Suspicions: x.registry.MostRestricted(repairSuspicions)})
--- a/internal/peers/suspicions_test.go
+++ b/internal/peers/suspicions_test.go
@@ -69,8 +69,8 @@
 
 // hello delivers a Hello of one gateway to another.
 func (n *network) hello(from, to *gatewayPeer) {
-	digest := n.exchanges[from.ControlAddress].Digest()
-	n.exchanges[to.ControlAddress].HandleHello(&Hello{From: from.Peer, Suspicions: digest})
+	x := n.exchanges[from.ControlAddress]
+	n.exchanges[to.ControlAddress].HandleHello(&Hello{From: from.Peer, Suspicions: x.Digest(), RemembersMS: x.Memory().Milliseconds()})
 }
 
 func quarantined(g *gatewayPeer, fingerprint uint64) bool {
@@ -78,6 +78,24 @@
 	return state == quarantine.Quarantined
 }
 
+// Guards against a gateway that takes what it knows for all that happened although all
+// gateways have started together, and against one that does so after a restart of its own.
+func TestGatewayKnowsForHowLongCrashesAreRemembered(t *testing.T) {
+	is := is.New(t)
+	n, g := newNetwork(t, "a", "b", "c")
+	remembers := func(name string) bool { return n.exchanges[g[name].ControlAddress].Remembers() }
+	n.hello(g["a"], g["b"])
+	n.hello(g["b"], g["a"])
+	is.True(!remembers("a") && !remembers("b"))
+	n.exchanges[g["c"].ControlAddress].KnowMemory(quarantine.SuspicionLifetime)
+	is.True(remembers("c"))
+	n.hello(g["a"], g["c"])
+	is.True(remembers("c"))
+	n.hello(g["c"], g["b"])
+	n.hello(g["b"], g["a"])
+	is.True(remembers("a") && remembers("b"))
+}
+
 // Guards against a gateway that does not know of a quarantine because it was cut off, lost
 // a message or was started later, and against messages without end once all know it.
 func TestGatewayThatMissedSuspicionsLearnsThemFromHello(t *testing.T) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,6 +29,10 @@
 	Quarantined
 )
 
+// SuspicionLifetime is the time after its last change at which a suspicion expires. Earlier
+// crashes say nothing.
+const SuspicionLifetime = suspicionLifetime
+
 const (
 	// suspicionLifetime is the time after its last change at which a suspicion
 	// expires.
@@ -36,6 +40,9 @@
 	// conclusiveLifetime is the time for which conclusive evidence from a single crash
 	// quarantines. After it, one request is tried.
 	conclusiveLifetime = 30 * time.Second
+	// forgottenLifetime is the same for a crash before which others may have been
+	// forgotten. It bounds how long a sound request is refused whose server crashed.
+	forgottenLifetime = 2 * time.Minute
 	// quarantineCrashes is the number of distinct crashes from which on a
 	// fingerprint is quarantined.
 	quarantineCrashes = 2
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -93,25 +93,45 @@
 	Begun, Conclusive bool
 	// Streamed is set if events of the response had been sent; see wire.Crash.
 	Streamed uint8
+	// Forgotten is true if earlier crashes may have been forgotten, and the request was the
+	// last one that was sent to the server: a request that crashes servers does so when they
+	// begin to run it.
+	Forgotten bool
 }
 
 // AddBlame records that a server crashed while it ran a request. A fingerprint that is
 // known to be safe does not become suspect, because many requests share it; it is returned
-// as doubted and has to prove itself again, in all processes. The result must be published.
+// as doubted and has to prove itself again, in all processes. If earlier crashes may have been
+// forgotten, a suspect request is quarantined for forgottenLifetime. The result must be
+// published.
 func (r *Registry) AddBlame(b Blame) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	crash := wire.Crash{Agent: b.Agent, ServerStart: b.ServerStart, NotBegun: !b.Begun}
+	if len(b.Tried) > 0 && b.Streamed == 0 {
+		return Update{Suspicions: r.addTrialCrash(b, crash)}
+	}
+	crash.BeforeSuspicion = true
+	var u Update
 	if b.Streamed > 0 {
-		crash.NotBegun, crash.BeforeSuspicion, crash.Streamed = true, true, b.Streamed
-		s := r.addCrash(b.Request, b.Account, crash)
+		crash.NotBegun, crash.Streamed = true, b.Streamed
+		if b.Forgotten {
+			crash.Streamed = max(b.Streamed, streamedSuspicion)
+		}
+		u.Suspicions = append(u.Suspicions, r.addCrash(b.Request, b.Account, crash))
 		r.confirm([]uint64{b.Request})
-		return Update{Suspicions: []wire.Suspicion{s}}
+	} else {
+		u = r.addFirstCrash(b, crash)
 	}
-	if len(b.Tried) > 0 {
-		return Update{Suspicions: r.addTrialCrash(b, crash)}
+	if b.Forgotten && r.stateOf(b.Request) == Suspect {
+		u.Suspicions = append(u.Suspicions, r.addJoint([]uint64{b.Request}, crash, forgottenLifetime))
 	}
-	crash.BeforeSuspicion = true
+	return u
+}
+
+// addFirstCrash records the crash of a server that ran a request without suspicion and had
+// sent no events of its response.
+func (r *Registry) addFirstCrash(b Blame, crash wire.Crash) Update {
 	var u Update
 	var unproven []uint64
 	isProven := func(f uint64) bool {
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -92,13 +92,18 @@
 	// Zone is the availability zone of the machine. Required.
 	Zone string `toml:"zone"`
 	// IP is the address of the machine. Required.
-	IP     string     `toml:"ip"`
-	Listen NodeListen `toml:"listen"`
-	Peers  NodePeers  `toml:"peers"`
-	Store  NodeStore  `toml:"store"`
-	Rank   NodeRank   `toml:"rank"`
-	Limits NodeLimits `toml:"limits"`
-	Bounds NodeBounds `toml:"bounds"`
+	IP string `toml:"ip"`
+	// FirstStart is true if the whole fleet starts for the first time. After any other start
+	// of all gateways together, a request is refused for 2 minutes whose server crashed once,
+	// because the gateways have forgotten whether it crashed others before; this ends 10
+	// minutes after the start. Default false.
+	FirstStart bool       `toml:"first_start"`
+	Listen     NodeListen `toml:"listen"`
+	Peers      NodePeers  `toml:"peers"`
+	Store      NodeStore  `toml:"store"`
+	Rank       NodeRank   `toml:"rank"`
+	Limits     NodeLimits `toml:"limits"`
+	Bounds     NodeBounds `toml:"bounds"`
 }
 
 // Drain returns Bounds.DrainMS as a duration.
