--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,25 +130,23 @@
 	return x
 }
 
-func (s *services) all() []*service {
+func (s *services) all() map[string]*service {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]*service, 0, len(s.byName))
-	for _, x := range s.byName {
-		out = append(out, x)
-	}
-	return out
+	return maps.Clone(s.byName)
 }
 
-// update applies the servers and limits of a snapshot.
+// update applies the servers and limits of a snapshot. Requests of services that are no
+// longer configured may still run or wait.
 func (s *services) update(snapshot *feed.Snapshot) {
 	if snapshot.Configuration == nil {
 		return
 	}
 	for name, d := range snapshot.Configuration.Services {
-		x := s.get(name)
+		s.get(name).initLimit(d)
+	}
+	for name, x := range s.all() {
 		x.pool.Update(snapshot.Servers[name])
-		x.initLimit(d)
 		x.dispatch()
 	}
 }
