--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -171,12 +171,15 @@
 			delete(c.groups, name)
 			continue
 		}
-		service := c.serviceOf(g)
-		if service == nil || service.Engine == nil {
+		if service := c.serviceOf(g); service != nil {
+			g.service = service
+		}
+		if g.service == nil || g.service.Engine == nil {
+			c.endPendingSwitch(ctx, g, now)
 			continue
 		}
-		e := service.Engine
-		g.limiter.refusing = c.allowHigherLimit(service.Name)
+		e := g.service.Engine
+		g.limiter.refusing = c.allowHigherLimit(g.service.Name)
 		c.broadcast(g, e, now)
 		c.updateMap(ctx, g, e, now)
 	}
@@ -190,7 +193,7 @@
 }
 
 // serviceOf returns the service that a group's engines serve, or nil if it is not
-// known.
+// configured: requests that still run need the control of their group all the same.
 func (c *Controller) serviceOf(g *group) *deployment.Service {
 	s := c.Feed.Snapshot()
 	if s.Configuration == nil {
@@ -214,12 +217,7 @@
 		g.demandShifted = true
 		c.Recorder.Record("demand_shifted", "", events.F("group", g.name), events.F("noise", g.demand.noise), events.F("interval_ms", g.demand.shiftInterval.Milliseconds()))
 	}
-	if g.changing || now.Before(g.pausedUntil) || e.Layers == 0 {
-		return
-	}
-	if c.holdTimedOut(g, now) {
-		g.beginChange()
-		go c.recoverSwitch(ctx, g)
+	if g.changing || now.Before(g.pausedUntil) || e.Layers == 0 || c.endPendingSwitch(ctx, g, now) {
 		return
 	}
 	if !g.allReported(now) || !g.sameMap() {
@@ -275,6 +273,17 @@
 	return (highest>>versionBits+1)<<versionBits | rand.Int64N(1<<versionBits)
 }
 
+// endPendingSwitch begins to resolve a switch that no coordinator completes, and reports
+// whether it did. A group does not run while one of its ranks is held.
+func (c *Controller) endPendingSwitch(ctx context.Context, g *group, now time.Time) bool {
+	if g.changing || now.Before(g.pausedUntil) || !c.holdTimedOut(g, now) {
+		return false
+	}
+	g.beginChange()
+	go c.recoverSwitch(ctx, g)
+	return true
+}
+
 // holdTimedOut reports whether a pending switch must be resolved because no
 // coordinator completes it: a rank has been held or armed for longer than holdTimeout.
 func (c *Controller) holdTimedOut(g *group, now time.Time) bool {
--- a/internal/mapcontrol/group.go
+++ b/internal/mapcontrol/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coltsfootbay/coltsfootbay/internal/deployment"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/placement"
 	"github.com/coltsfootbay/coltsfootbay/internal/rankagent"
@@ -16,6 +17,9 @@
 	size    int
 	demand  demand
 	limiter limiter
+	// service is the service that the group's engines serve, as last configured; nil if it is
+	// not known.
+	service *deployment.Service
 	// version is the version of maps, the maps in use; it is 0 and maps is nil if they
 	// are unknown.
 	version int64
