--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -41,6 +41,7 @@
 // server is a backend server with a proxy in front of it.
 type server struct {
 	id, service, address string
+	started              time.Time
 	proxy                *harness.TCPProxy
 	process              *platformtest.Service
 }
@@ -159,7 +160,7 @@
 			f.t.Fatal(err)
 		}
 		f.t.Cleanup(e.Stop)
-		f.engines = append(f.engines, &server{id: e.ID, service: modelName, address: addresses[n], proxy: f.proxy(e.ID, addresses[n])})
+		f.engines = append(f.engines, &server{id: e.ID, service: modelName, address: addresses[n], started: time.Now(), proxy: f.proxy(e.ID, addresses[n])})
 		f.publish(f.engines[n], "ready")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -178,7 +179,7 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(s.Stop)
-	x := &server{id: id, service: plainName, address: address, proxy: f.proxy(id, address), process: s}
+	x := &server{id: id, service: plainName, address: address, started: time.Now(), proxy: f.proxy(id, address), process: s}
 	f.publish(x, "ready")
 	return x
 }
@@ -188,7 +189,7 @@
 	if f.withoutProxies {
 		address = s.address
 	}
-	f.store.PutServer(s.id, s.service, address, zone(0), state)
+	f.store.PutServer(s.id, s.service, address, zone(0), state, s.started.UnixMilli())
 }
 
 const (
