--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -91,6 +91,8 @@
 	control       *mapcontrol.Controller
 	callers       *http.Server
 	malformedLog  malformedLog
+	// hellos is the number of Hellos so far.
+	hellos atomic.Uint64
 	// stopTimeout is the time from SIGTERM to SIGKILL in nanoseconds.
 	stopTimeout atomic.Int64
 }
@@ -320,6 +322,7 @@
 // sendHello completes a Hello and sends it.
 func (p *gatewayProcess) sendHello(hello *peers.Hello, to ...string) {
 	hello.Suspicions = p.suspicions.Digest()
+	hello.Sequence = p.hellos.Add(1)
 	hello.RemembersMS = p.suspicions.Memory().Milliseconds()
 	hello.Agents = p.retryExchange.HeardAgents()
 	for _, address := range to {
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -52,6 +52,8 @@
 	Peer
 	// lastHello is when the gateway last sent a Hello; zero if it never did.
 	lastHello time.Time
+	// sequence is that of the latest Hello.
+	sequence uint64
 	// lastGroupMessage is when the gateway last sent a message about a group, as its
 	// controller; zero if it never did.
 	lastGroupMessage time.Time
@@ -73,7 +75,8 @@
 }
 
 // HandleHello updates the view with a message of another gateway. It reports whether this
-// is the first one of the gateway's start, which is answered with a Hello at once.
+// is the first one of the gateway's start, which is answered with a Hello at once. A message
+// that a later one of the same start has overtaken is ignored.
 func (m *Members) HandleHello(h *Hello) (first bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -87,11 +90,14 @@
 		x = &member{added: now}
 		m.peers[h.From.ControlAddress] = x
 	}
+	if x.Start == h.From.Start && h.Sequence < x.sequence {
+		return false
+	}
 	if !x.alive || x.Start != h.From.Start || x.Serving != h.From.Serving {
 		m.recorder.Record("gateway_seen", "", events.F("gateway", h.From.Name), events.F("address", h.From.ControlAddress), events.F("serving", h.From.Serving))
 	}
 	first = x.lastHello.IsZero() || x.Start != h.From.Start
-	x.Peer, x.lastHello, x.alive = h.From, now, true
+	x.Peer, x.lastHello, x.sequence, x.alive = h.From, now, h.Sequence, true
 	for _, address := range h.Known {
 		if address != ownAddress && m.peers[address] == nil {
 			m.peers[address] = &member{Peer: Peer{ControlAddress: address}, added: now}
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -67,6 +67,8 @@
 	// RemembersMS is for how long the sender knows of the crashes of servers, in
 	// milliseconds; see SuspicionExchange.Memory.
 	RemembersMS int64 `cbor:"5,keyasint,omitempty"`
+	// Sequence increases with each Hello of a start: datagrams may overtake each other.
+	Sequence uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RetryRecord says what a gateway has counted for the retry budget of one service. It is
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -30,6 +30,33 @@
 	return v
 }
 
+// Guards against callers that are sent to a stopping gateway because one of its Hellos was
+// overtaken by a later one, and against ignoring its next start.
+func TestOvertakenHelloIsIgnored(t *testing.T) {
+	is := is.New(t)
+	m := newTestMembers(peer("a", 1, 1))
+	hello := func(start int, serving bool, sequence uint64) {
+		from := peer("b", 2, 1)
+		from.Start, from.Serving = from.Start+fleet.StartID(start), serving
+		m.HandleHello(&Hello{From: from, Sequence: sequence})
+	}
+	serving := func() bool {
+		for _, p := range m.Alive() {
+			if p.Name == "b" {
+				return p.Serving
+			}
+		}
+		return false
+	}
+	hello(0, true, 4)
+	is.True(serving())
+	hello(0, false, 6)
+	hello(0, true, 5)
+	is.True(!serving())
+	hello(1, true, 1)
+	is.True(serving())
+}
+
 // Guards against listing gateways that are lost as alive or leaving ones as serving,
 // and against losing a gateway because of a single lost message.
 func TestLostAndLeavingGateways(t *testing.T) {
