--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -216,6 +216,8 @@
 	// account has none.
 	urgency int
 	arrived time.Time
+	// read is when the whole request had arrived, or the same as arrived until then.
+	read time.Time
 	// deadline is the earlier of the caller's and the route's time limit.
 	deadline time.Time
 	// tried holds the IDs of the servers that the request was sent to.
@@ -283,6 +285,7 @@
 // refused.
 func (g *Gateway) accept(w http.ResponseWriter, in *http.Request) (*request, *verdict.Error) {
 	r := &request{RequestInfo: g.Headers.Call(in.Header), in: in, arrived: time.Now()}
+	r.read = r.arrived
 	known := g.Feed.Copy()
 	c := known.Configuration
 	if c == nil {
@@ -305,6 +308,10 @@
 	if refusal := g.readBody(w, r, c.Limits); refusal != nil {
 		return r, refusal
 	}
+	if refusal := g.refuseLate(r); refusal != nil {
+		g.bodies.Release(r.bodyBytes)
+		return r, refusal
+	}
 	r.fingerprints = fingerprints(r)
 	return r, nil
 }
@@ -398,6 +405,6 @@
 		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body did not arrive in full: %v", err)
 	}
 	_ = deadline.SetReadDeadline(time.Time{})
-	r.body, r.bodyBytes = body, taken
+	r.body, r.bodyBytes, r.read = body, taken, time.Now()
 	return nil
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -87,13 +87,13 @@
 	if needs == 0 {
 		return r.deadline
 	}
-	return earliest(r.deadline, r.arrived.Add(needs))
+	return earliest(r.deadline, r.read.Add(needs))
 }
 
-// earlyInStop reports whether a request arrived within earlyStop of the begin of a planned
+// earlyInStop reports whether a request was read within earlyStop of the begin of a planned
 // stop.
 func (g *Gateway) earlyInStop(r *request) bool {
-	return r.arrived.Sub(g.stop.Began()) <= earlyStop
+	return r.read.Sub(g.stop.Began()) <= earlyStop
 }
 
 // streamTime returns how long a stream may take to its first event and from there to its end.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -155,6 +156,26 @@
 	is.Equal(ask("/safe/1", 0, 0), http.StatusServiceUnavailable)
 }
 
+// Guards against a request whose body arrives slowly and is judged by when it began.
+func TestRequestIsJudgedWhenItIsRead(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t, respond("answer"))
+	w := newTestGateway(t, map[string][]*backend{"plain": {b}})
+	w.ask(t, "POST", "/safe/1")
+	body, send := io.Pipe()
+	go func() {
+		_, _ = send.Write([]byte("begin"))
+		time.Sleep(300 * time.Millisecond)
+		w.gateway.StartDrain(time.Now().Add(500 * time.Millisecond))
+		_, _ = send.Write([]byte("end"))
+		_ = send.Close()
+	}()
+	status, _, whole, _ := w.ask(t, "POST", "/unsafe/1", func(r *http.Request) { r.Body, r.ContentLength = body, -1 })
+	is.True(whole)
+	is.Equal(status, http.StatusServiceUnavailable) // may take 1.7 s more
+	is.Equal(b.ran(), 1)
+}
+
 // Guards against a stream of an engine that is refused although its events hold several tokens.
 func TestEventsOfAnEngineHoldTheTokensOfAPass(t *testing.T) {
 	is := is.New(t)
