--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -20,6 +20,9 @@
 	// crashProbeTimeout limits the connection attempt that finds out whether a server has
 	// crashed.
 	crashProbeTimeout = 150 * time.Millisecond
+	// recentSend is the age up to which a request may have begun to run right before its
+	// server crashed, although others were sent there after it.
+	recentSend = 300 * time.Millisecond
 )
 
 // recordBroken logs and counts an attempt whose connection broke before the response was
@@ -29,6 +32,7 @@
 // since. A leaving server ends without a crash.
 func (g *Gateway) recordBroken(r *request, p *slot, s sendResult, sentAt time.Time, eventsHere int) {
 	g.Metrics.Broken.Inc(1)
+	brokenAt := time.Now()
 	server := p.backend.Server
 	begun := s.resp != nil
 	parts := r.PromptParts[:min(len(r.PromptParts), maxLoggedParts)]
@@ -42,7 +46,7 @@
 		Request: r.fingerprints[0], Properties: r.fingerprints[1:], Account: r.account, Tried: r.suspects,
 		Agent: fleet.ProcessID(server.ID), ServerStart: strconv.FormatInt(server.StartMS, 10),
 		Begun: begun, Conclusive: p.service.headerLead.isShort(),
-		Forgotten: !g.Suspicions.Remembers() && r.sendNumber == p.backend.LastSend(),
+		Forgotten: !g.Suspicions.Remembers() && (r.sendNumber == p.backend.LastSend() || brokenAt.Sub(sentAt) < recentSend),
 	}
 	if eventsHere > 0 {
 		blame.Streamed = r.nextStreamed
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -113,6 +113,25 @@
 	is.True(whole && status == 200)
 }
 
+// Guards against a plain request that crashes servers anew after each restart of all gateways.
+func TestPlainRequestCrashesOneServerIfOthersMayBeForgotten(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	var servers []*backend
+	for range 5 {
+		servers = append(servers, newCrashingBackend(t, &crashes, false))
+	}
+	w := newTestGateway(t, map[string][]*backend{"plain": servers})
+	w.gateway.Suspicions = localSuspicions{trials: quarantine.NewTrials(), forgotten: true}
+	for n := range 3 {
+		status, _, _, _ := w.ask(t, "GET", "/safe/x", withParts("own,dead"))
+		is.True(n == 0 || status == http.StatusServiceUnavailable)
+	}
+	is.Equal(crashes.Load(), int64(1))
+	status, _, whole, _ := w.ask(t, "GET", "/safe/y")
+	is.True(whole && status == http.StatusOK)
+}
+
 // Guards against a queued request that is refused only once it gets a slot, although it is
 // known before that it may not run.
 func TestQueuedRequestIsRefusedWhenQuarantined(t *testing.T) {
--- a/internal/gateway/crashafterevents_test.go
+++ b/internal/gateway/crashafterevents_test.go
@@ -16,15 +16,15 @@
 )
 
 // newBackendCrashingAfter starts a model server that crashes when it has sent some events
-// of the answer to a request with crashPart in its path. Other answers have more events.
-func newBackendCrashingAfter(t *testing.T, events int, crashes *atomic.Int64) *backend {
+// of the answer to a request with crashPart in its path. Other answers have answer events.
+func newBackendCrashingAfter(t *testing.T, events, answer int, crashes *atomic.Int64) *backend {
 	var b *backend
 	b = newBackend(t, func(w http.ResponseWriter, r *http.Request) {
 		last := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
 		w.Header().Set("Content-Type", "text/event-stream")
 		flush := http.NewResponseController(w)
-		for n := last + 1; n <= 8; n++ {
+		for n := last + 1; n <= answer; n++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
 			_ = flush.Flush()
 			if n-last == events && strings.Contains(r.URL.Path, crashPart) {
@@ -47,7 +47,7 @@
 			var crashes atomic.Int64
 			var servers []*backend
 			for range 7 {
-				servers = append(servers, newBackendCrashingAfter(t, events, &crashes))
+				servers = append(servers, newBackendCrashingAfter(t, events, 8, &crashes))
 			}
 			w := newTestGateway(t, map[string][]*backend{"model": servers})
 			var beside sync.WaitGroup
@@ -83,7 +83,7 @@
 	var crashes atomic.Int64
 	var servers []*backend
 	for range 2 {
-		servers = append(servers, newBackendCrashingAfter(t, events, &crashes))
+		servers = append(servers, newBackendCrashingAfter(t, events, 40, &crashes))
 	}
 	w := newTestGateway(t, map[string][]*backend{"model": servers})
 	w.gateway.Suspicions = localSuspicions{trials: quarantine.NewTrials(), forgotten: true}
@@ -96,7 +96,7 @@
 			}
 		})
 	}
-	time.Sleep(40 * time.Millisecond)
+	time.Sleep(recentSend + 50*time.Millisecond)
 	for n := range 3 {
 		status, _, whole, _ := w.ask(t, "POST", "/stream/"+crashPart)
 		is.True(!whole || status != http.StatusOK)
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -93,9 +93,9 @@
 	Begun, Conclusive bool
 	// Streamed is set if events of the response had been sent; see wire.Crash.
 	Streamed uint8
-	// Forgotten is true if earlier crashes may have been forgotten, and the request was the
-	// last one that was sent to the server: a request that crashes servers does so when they
-	// begin to run it.
+	// Forgotten is true if earlier crashes may have been forgotten, and the request was sent
+	// to the server shortly before, or as the last one: a request that crashes servers does
+	// so when they begin to run it.
 	Forgotten bool
 }
 
