--- a/internal/feed/servers.go
+++ b/internal/feed/servers.go
@@ -278,10 +278,10 @@
 }
 
 // expire removes the missing servers whose grace period has ended, accepts the doubted ones
-// whose entries have not expired or been replaced, and reports whether the servers changed. The grace period
-// starts when any process is connected to this history of the store: if another process was
-// connected throughout, only this process lost its connection, and the missing servers have
-// deregistered.
+// whose entries have not expired or been replaced, and reports whether the servers changed.
+// The grace period starts when any process is connected to this history of the store: if
+// another process was connected throughout, only this process lost its connection, and the
+// missing servers have deregistered.
 func (s *servers) expire(otherConnectedFor time.Duration) (changed bool) {
 	now := time.Now()
 	for key, e := range s.entries {
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -135,7 +135,7 @@
 	registry := quarantine.NewRegistry()
 	p.suspicions = peers.NewSuspicionExchange(config.Listen.Control, registry, p.members, p.trySend, func() { p.gateway.CancelQuarantined() })
 	if config.FirstStart {
-		p.suspicions.KnowMemory(quarantine.SuspicionLifetime)
+		p.suspicions.ExtendMemory(quarantine.SuspicionLifetime)
 	}
 	p.retries = retry.NewServiceBudgets(config.Bounds.RetryRatio*retryShare, time.Duration(config.Bounds.RetryWindowS*float64(time.Second)))
 	p.retryExchange = peers.NewRetryExchange(p.self, p.members, p.retries, p.send)
--- a/internal/peers/suspicions.go
+++ b/internal/peers/suspicions.go
@@ -62,8 +62,8 @@
 // Remembers implements gateway.Suspicions.
 func (x *SuspicionExchange) Remembers() bool { return x.Memory() >= quarantine.SuspicionLifetime }
 
-// KnowMemory records that this gateway knows of all crashes within a time until now.
-func (x *SuspicionExchange) KnowMemory(memory time.Duration) {
+// ExtendMemory records that this gateway knows of all crashes within a time until now.
+func (x *SuspicionExchange) ExtendMemory(memory time.Duration) {
 	since := time.Now().Add(-min(max(memory, 0), quarantine.SuspicionLifetime))
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -108,7 +108,7 @@
 	if h.From.ControlAddress == x.self {
 		return
 	}
-	x.KnowMemory(time.Duration(h.RemembersMS) * time.Millisecond)
+	x.ExtendMemory(time.Duration(h.RemembersMS) * time.Millisecond)
 	if h.Suspicions == x.registry.Digest() {
 		return
 	}
--- a/internal/peers/suspicions_test.go
+++ b/internal/peers/suspicions_test.go
@@ -87,7 +87,7 @@
 	n.hello(g["a"], g["b"])
 	n.hello(g["b"], g["a"])
 	is.True(!remembers("a") && !remembers("b"))
-	n.exchanges[g["c"].ControlAddress].KnowMemory(quarantine.SuspicionLifetime)
+	n.exchanges[g["c"].ControlAddress].ExtendMemory(quarantine.SuspicionLifetime)
 	is.True(remembers("c"))
 	n.hello(g["a"], g["c"])
 	is.True(remembers("c"))
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -62,7 +62,7 @@
 	e.crashes, e.confirmed = nil, false
 	// The cleared entry must be kept longer than every copy of the crashes that
 	// it invalidates.
-	e.expires = now.Add(suspicionLifetime)
+	e.expires = now.Add(SuspicionLifetime)
 	return e.toSuspicion(fingerprint, now)
 }
 
@@ -82,7 +82,7 @@
 // lifts changed. A longer remaining time is stored but not reported as a change;
 // otherwise processes would forward suspicions to each other without end.
 func (r *Registry) merge(s wire.Suspicion) (*entry, bool) {
-	remaining := min(time.Duration(s.Remaining)*time.Millisecond, suspicionLifetime)
+	remaining := min(time.Duration(s.Remaining)*time.Millisecond, SuspicionLifetime)
 	e := r.find(s.Fingerprint)
 	if s.Remaining <= 0 {
 		return e, false
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,14 +29,10 @@
 	Quarantined
 )
 
-// SuspicionLifetime is the time after its last change at which a suspicion expires. Earlier
-// crashes say nothing.
-const SuspicionLifetime = suspicionLifetime
-
 const (
-	// suspicionLifetime is the time after its last change at which a suspicion
+	// SuspicionLifetime is the time after its last change at which a suspicion
 	// expires.
-	suspicionLifetime = 10 * time.Minute
+	SuspicionLifetime = 10 * time.Minute
 	// conclusiveLifetime is the time for which conclusive evidence from a single crash
 	// quarantines. After it, one request is tried.
 	conclusiveLifetime = 30 * time.Second
@@ -113,7 +109,7 @@
 		Fingerprint: fingerprint,
 		Account:     account,
 		Crashes:     []wire.Crash{crash},
-		Remaining:   suspicionLifetime.Milliseconds(),
+		Remaining:   SuspicionLifetime.Milliseconds(),
 	}
 	if e := r.find(fingerprint); e != nil {
 		s.Lifts = e.lifts
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -105,7 +105,7 @@
 	is.True(ok)
 	is.Equal(r.State(7), Clear)
 	addCrash(r, 7, "x", one)
-	now = now.Add(suspicionLifetime)
+	now = now.Add(SuspicionLifetime)
 	is.Equal(r.State(7), Clear)
 	is.Equal(len(r.List()), 0)
 }
--- a/internal/quarantine/request.go
+++ b/internal/quarantine/request.go
@@ -180,7 +180,7 @@
 		r.confirm(properties)
 		return []wire.Suspicion{s}
 	}
-	return []wire.Suspicion{r.addJoint(properties, crash, suspicionLifetime)}
+	return []wire.Suspicion{r.addJoint(properties, crash, SuspicionLifetime)}
 }
 
 // addJoint adds a crash to the set of fingerprints one of which is the cause.
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -181,7 +181,7 @@
 	is.Equal(first[0].Fingerprint, uint64(1))
 	b.Receive(Update{Suspicions: a.List()})
 	is.Equal(a.Digest(), b.Digest())
-	now = now.Add(suspicionLifetime + digestLifetime)
+	now = now.Add(SuspicionLifetime + digestLifetime)
 	is.Equal(a.Digest(), uint64(0))
 }
 
