--- a/internal/agent/process_test.go
+++ b/internal/agent/process_test.go
@@ -61,8 +61,8 @@
 	c.BackendServer.Kind, c.BackendServer.Name, c.BackendServer.URL = settings.KindService, "records", "http://127.0.0.1:1"
 	c.Keys, c.TicketLinger = keys(t), tomlfile.Duration(50*time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(50*time.Millisecond, cancel)
 	started := time.Now()
+	time.AfterFunc(50*time.Millisecond, cancel)
 	is.NoErr(Run(ctx, c, io.Discard))
 	is.True(time.Since(started) >= 100*time.Millisecond) // it stayed for the ticket linger time
 	c.Keys.Ticket = c.Keys.Key
