events: texts that clients choose are cut

Callers saw: a process that ends.

Identifiers, texts and lists of texts in an event are cut at 512 bytes, and the copy does not keep the whole text alive. Any client inside the limits sends identifiers of less than 100 bytes.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"sort"
+	"strings"
 	"sync"
 
 	"github.com/apex/log"
@@ -77,13 +78,42 @@
 }
 
 // Record logs an event and adds it to the ring. request is empty if the event
-// belongs to no request.
+// belongs to no request. Identifiers and texts of more than maxTextBytes are cut.
 func (r *Recorder) Record(name string, request fleet.RequestID, fields ...Field) {
-	e := Event{Time: r.Clock.Now(), Process: r.process, Start: r.start, Name: name, Request: request, Fields: fields}
+	for i := range fields {
+		fields[i].Value = cutValue(fields[i].Value)
+	}
+	e := Event{Time: r.Clock.Now(), Process: r.process, Start: r.start, Name: name, Request: fleet.RequestID(cut(string(request))), Fields: fields}
 	r.store(e)
 	r.logger.WithFields(logFields(e)).Info(name)
 }
 
+// maxTextBytes limits a text in an event: clients choose some of them, and the ring keeps
+// many.
+const maxTextBytes = 512
+
+// cut returns the beginning of a long text. The copy does not keep the text in memory.
+func cut(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(strings.Clone(text[:maxTextBytes]), "") + "..."
+}
+
+func cutValue(value any) any {
+	switch v := value.(type) {
+	case string:
+		return cut(v)
+	case []string:
+		out := make([]string, len(v))
+		for i := range v {
+			out[i] = cut(v[i])
+		}
+		return out
+	}
+	return value
+}
+
 func (r *Recorder) store(e Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
