gateway, rank agent: what clients make a process keep has a bound over all connections

Callers saw: a process that ends, or that doesn't answer. The memory for bodies was bounded, but not the rest: a connection that is refused or waits held what the kernel's receive buffer takes (0.1 to 0.8 MB on loopback), a head of 60 kB took 1 MB as 10,000 short fields, a body that stopped short of its end kept its memory until the request's time limit, and idle or trickling connections took every descriptor, at the callers' address and at the four others.

internal/inbound replaces the listeners of a gateway and of a rank agent: - Connections have a limit. A new one takes the place of the one whose client has let the process wait longest; sending byte by byte doesn't change the order. If all are in use the new one is closed at once, and connections in use end after their next answer for a second. - The receive buffer is 32 KiB, set before a connection is made. - Heads and bodies share a memory. Large requests may take three quarters of it. When it is used up, the request that arrives most slowly gives way: with 503, which is true, because nothing is sent before a body is whole; before the handler by a reset. - An answer that is not read ends 2 s after the request's time limit, and a refusal waits 0.25 s for the rest of a body; both had no limit. - A body grows up to its length and not to twice of it. The limits follow from memory_mb and descriptors. A single body of 4 MiB is served in calm; the test sends one after each crowd.

--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -32,7 +32,7 @@
 // of its caller address.
 type gatewayProcess struct {
 	*harness.Process
-	callers, ready, directory string
+	callers, ready, directory, control, metrics string
 	// callerProxy is the proxy that callers connect to.
 	callerProxy *harness.TCPProxy
 	storeProxy  *harness.TCPProxy
@@ -57,10 +57,12 @@
 	group     *platformtest.Group
 	gateways  []*gatewayProcess
 	agents    []*harness.Process
-	engines   []*server
-	plain     []*server
-	config    platformtest.Configuration
-	ports     harness.Ports
+	// agentAddresses holds the addresses on which each agent listens.
+	agentAddresses [][]string
+	engines        []*server
+	plain          []*server
+	config         platformtest.Configuration
+	ports          harness.Ports
 	// withoutProxies publishes the engines' own addresses: a proxy accepts connections
 	// also while its engine is down.
 	withoutProxies bool
@@ -69,6 +71,8 @@
 	// restoring restores the store from older copies beside the other faults.
 	restoring bool
 	added     addedRoutes
+	// memoryMB and descriptors are the limits of each process.
+	memoryMB, descriptors int
 	// crashCauses holds the parts of prompts and the paths that crashed servers.
 	crashCauses []string
 }
@@ -77,7 +81,7 @@
 // ready.
 func startFleet(t *testing.T, options ...func(*fleet)) *fleet {
 	dir := t.TempDir()
-	f := &fleet{t: t, directory: dir, store: platformtest.NewStore(), record: &platformtest.RunLog{}}
+	f := &fleet{t: t, directory: dir, store: platformtest.NewStore(), record: &platformtest.RunLog{}, memoryMB: 256, descriptors: 2000}
 	for _, set := range options {
 		set(f)
 	}
@@ -233,17 +237,20 @@
 
 func (f *fleet) newGateway(dir string, n int, control, store string, seeds []string) *gatewayProcess {
 	name := fmt.Sprintf("gateway-%d", n)
-	g := &gatewayProcess{callers: f.address(), ready: f.address(), directory: f.address()}
+	free := f.freePort()
+	g := &gatewayProcess{callers: f.address(), ready: f.address(), directory: f.address(), control: control, metrics: metricsAddress(free)}
 	g.callerProxy, g.storeProxy = f.proxy(name+"-callers", g.callers), f.proxy(name+"-store", store)
 	listen := fmt.Sprintf("callers = %q\nready = %q\ndirectory = %q\ncontrol = %q\n", g.callers, g.ready, g.directory, control)
-	file := f.settings(dir, name, n, listen, f.freePort(), seeds, g.storeProxy.Address(), "")
+	file := f.settings(dir, name, n, listen, free, seeds, g.storeProxy.Address(), "")
 	g.Process = harness.NewProcess(dir, name, filepath.Join(*binaries, "coltsfootbay"), "gateway", "--settings", file)
 	return g
 }
 
 func (f *fleet) newAgent(dir string, n int, seeds []string) *harness.Process {
 	name := fmt.Sprintf("agent-%d", n)
-	file := f.settings(dir, name, n, "", f.freePort(), seeds, "127.0.0.1:1", f.engineAddress(n))
+	free := f.freePort()
+	f.agentAddresses = append(f.agentAddresses, []string{fmt.Sprintf("127.0.0.1:%d", free), metricsAddress(free)})
+	file := f.settings(dir, name, n, "", free, seeds, "127.0.0.1:1", f.engineAddress(n))
 	return harness.NewProcess(dir, name, filepath.Join(*binaries, "coltsfootbay"), "rank-agent", "--settings", file)
 }
 
@@ -255,6 +262,9 @@
 	return f.engines[n].proxy.Address()
 }
 
+// metricsAddress returns the address of the metrics of a process with this free port.
+func metricsAddress(free int) string { return fmt.Sprintf("127.0.0.1:%d", free+10) }
+
 // freePort returns a free port. It takes ten more ports so that the port 10 above
 // it, which serves metrics, is free as well.
 func (f *fleet) freePort() int {
@@ -279,8 +289,8 @@
 engine = %q
 [limits]
 processor = 1.0
-memory_mb = 256
-descriptors = 2000
+memory_mb = %d
+descriptors = %d
 [bounds]
 drain_ms = %d
 stop_s = %g
@@ -290,7 +300,7 @@
 retry_slack = %d
 address_lifetime_s = 5
 stall_ms = %d
-`, name, zone(n), listen, free, strings.Join(seeds, ", "), store, engine, drainBound.Milliseconds(), stopBound.Seconds(),
+`, name, zone(n), listen, free, strings.Join(seeds, ", "), store, engine, f.memoryMB, f.descriptors, drainBound.Milliseconds(), stopBound.Seconds(),
 		revokeBound.Milliseconds(), retryRatio, retryWindow.Seconds(), retrySlack, f.group.Parameters.Stall.Milliseconds())
 	file := filepath.Join(dir, name+".toml")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -31,11 +31,16 @@
 // Used returns the number of bytes in use.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// take takes n bytes and reports whether they were left.
-func (b *Budget) take(n int64) bool {
-	if b == nil {
-		return true
-	}
+// Memory is what the bytes of a body are taken from.
+type Memory interface {
+	// Take takes n bytes and reports whether they were left.
+	Take(n int64) bool
+	// Release returns n bytes.
+	Release(n int64)
+}
+
+// Take implements Memory.
+func (b *Budget) Take(n int64) bool {
 	if b.used.Add(n) > b.limit {
 		b.used.Add(-n)
 		return false
@@ -43,32 +48,37 @@
 	return true
 }
 
-// Release returns n bytes to the budget.
-func (b *Budget) Release(n int64) {
-	if b != nil {
-		b.used.Add(-n)
-	}
-}
+// Release implements Memory.
+func (b *Budget) Release(n int64) { b.used.Add(-n) }
+
+// unlimited is a Memory without a limit.
+type unlimited struct{}
+
+func (unlimited) Take(int64) bool { return true }
+func (unlimited) Release(int64)   {}
 
 // chunk is how many bytes are taken from a budget at a time.
 const chunk = 16 << 10
 
 // Read reads r to its end. It returns ErrTooLong if there are more than limit bytes, and
-// ErrBudget if the budget does not suffice for those beyond the first free ones; a nil budget
-// always does. The caller must release the taken bytes; there are none after an error.
-func Read(r io.Reader, limit int64, budget *Budget, free int64) (body []byte, taken int64, err error) {
+// ErrBudget if the memory does not suffice for those beyond the first free ones; nil always
+// does. The caller must release the taken bytes; there are none after an error.
+func Read(r io.Reader, limit int64, memory Memory, free int64) (body []byte, taken int64, err error) {
+	if memory == nil {
+		memory = unlimited{}
+	}
 	defer func() {
 		if err != nil {
-			budget.Release(taken)
+			memory.Release(taken)
 			body, taken = nil, 0
 		}
 	}()
 	r = io.LimitReader(r, limit+1)
 	for {
 		if len(body) == cap(body) {
-			more := int64(max(chunk, cap(body)))
+			more := min(int64(max(chunk, cap(body))), limit+1-int64(cap(body)))
 			if want := int64(cap(body)) + more - free; want > taken {
-				if !budget.take(want - taken) {
+				if !memory.Take(want - taken) {
 					return body, taken, ErrBudget
 				}
 				taken = want
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 )
 
@@ -19,6 +20,7 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	inbound.AnswerEarly(w, r.in)
 	w.WriteHeader(e.Status)
 	_, err := w.Write([]byte(string(e.Reason) + ": " + e.Detail + "\n"))
 	detail := e.Detail
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -178,7 +178,7 @@
 		_ = resp.Body.Close()
 	}
 	is.Equal(b.ran(), 0)
-	is.Equal(w.gateway.bodies.Used(), int64(0))
+	is.Equal(w.listener.Used(), int64(0))
 }
 
 // slowBody returns a byte each 50 ms.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/feed"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
@@ -39,13 +40,14 @@
 	defaultTimeout = 30 * time.Second
 	// defaultBodyBytes limits request bodies when the configuration sets no limit.
 	defaultBodyBytes = 1 << 20
-	// bodyMemoryShare and answerMemoryShare are the fractions of the process's memory that
-	// request bodies and buffered responses may use.
-	bodyMemoryShare   = 0.25
+	// answerMemoryShare is the fraction of the process's memory that buffered responses may
+	// use.
 	answerMemoryShare = 0.2
 	// freeAnswerBytes is the part of each response that does not count: faulty servers that
 	// fill the memory for responses must not keep short ones of other servers out.
 	freeAnswerBytes = 16 << 10
+	// writeGrace is how long an answer may still be written after the request's deadline.
+	writeGrace = 2 * time.Second
 	// dialTimeout limits connecting to a backend server, which takes a round trip of
 	// about 1 ms and the server's handshake of 1 ms.
 	dialTimeout = 350 * time.Millisecond
@@ -72,6 +74,8 @@
 	AnnounceRetry func(service string)
 	// MemoryBytes is the memory available to the process.
 	MemoryBytes int64
+	// IdleConnections limits the idle connections to all backend servers; 0 means no limit.
+	IdleConnections int
 	// Quarantine holds the suspicions that this gateway knows, and Suspicions exchanges
 	// them with the other gateways.
 	Quarantine *quarantine.Registry
@@ -84,7 +88,7 @@
 	services        *services
 	keepAliveClient *http.Client
 	oneShotClient   *http.Client
-	bodies, answers *bounded.Budget
+	answers         *bounded.Budget
 	stop            *shutdown.Stop
 	waiting         waitingRequests // queued requests
 	// revocationDelay is Config.RevocationDelay in nanoseconds; a reload may change it.
@@ -99,9 +103,8 @@
 	g := &Gateway{
 		Config:          c,
 		services:        newServices(c.Zone, c.Recorder),
-		keepAliveClient: &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
-		oneShotClient:   &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
-		bodies:          bounded.NewBudget(int64(bodyMemoryShare * float64(c.MemoryBytes))),
+		keepAliveClient: &http.Client{Transport: newTransport(c.IdleConnections, false), CheckRedirect: noRedirect},
+		oneShotClient:   &http.Client{Transport: newTransport(0, true), CheckRedirect: noRedirect},
 		answers:         bounded.NewBudget(int64(answerMemoryShare * float64(c.MemoryBytes))),
 		stop:            shutdown.New(),
 	}
@@ -109,11 +112,12 @@
 	return g
 }
 
-func newTransport(disableKeepAlives bool) *http.Transport {
+func newTransport(idleConnections int, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      disableKeepAlives,
+		MaxIdleConns:           idleConnections,
 		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
 		IdleConnTimeout:        idleConnTimeout,
 		ExpectContinueTimeout:  0,
@@ -121,10 +125,12 @@
 	}
 }
 
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // dial opens a connection that is reset when it is closed. Otherwise a machine that was
 // frozen could read and run a request that the gateway has already abandoned.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second, Control: bounded.LimitUnread}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -137,8 +143,6 @@
 	return conn, nil
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Run applies the snapshots of the feed and refuses queued requests that are too late,
 // until ctx is done.
 func (g *Gateway) Run(ctx context.Context) {
@@ -207,11 +211,11 @@
 	RequestInfo
 	in   *http.Request
 	body []byte
-	// bodyBytes is what body takes from the memory for bodies.
-	bodyBytes int64
-	route     *deployment.Route
-	service   *deployment.Service
-	account   fleet.ClientAccount
+	// releaseBody must be called when the body is no longer used.
+	releaseBody func()
+	route       *deployment.Route
+	service     *deployment.Service
+	account     fleet.ClientAccount
 	// urgency is the priority of the client account, or that of the route if the
 	// account has none.
 	urgency int
@@ -262,10 +266,12 @@
 	}
 	r, refusal := g.accept(w, in)
 	if refusal != nil {
+		limitWriting(w, time.Now())
 		g.refuse(w, r, refusal)
 		return
 	}
-	defer g.bodies.Release(r.bodyBytes)
+	limitWriting(w, r.deadline)
+	defer r.releaseBody()
 	defer g.returnRetry(r)
 	times := &g.services.get(r.service.Name).durations
 	times.begin(r)
@@ -281,6 +287,12 @@
 	g.servePlain(ctx, w, r)
 }
 
+// limitWriting bounds how long a caller that reads no answer holds the request up.
+func limitWriting(w http.ResponseWriter, deadline time.Time) {
+	// An error means that the connection is closed, and writing fails too.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // accept reads a request and authorizes it. It returns an error if the request is
 // refused.
 func (g *Gateway) accept(w http.ResponseWriter, in *http.Request) (*request, *verdict.Error) {
@@ -309,7 +321,7 @@
 		return r, refusal
 	}
 	if refusal := g.refuseLate(r); refusal != nil {
-		g.bodies.Release(r.bodyBytes)
+		r.releaseBody()
 		return r, refusal
 	}
 	r.fingerprints = fingerprints(r)
@@ -382,29 +394,18 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	if r.in.ContentLength > limit {
-		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
-	}
-	if r.in.Body == nil || r.in.Body == http.NoBody {
-		return nil
-	}
-	// A caller that sends its body too slowly is not waited for beyond its time limit. An
-	// error means that its connection is closed, and reading fails too.
-	deadline := http.NewResponseController(w)
-	_ = deadline.SetReadDeadline(r.deadline)
-	body, taken, err := bounded.Read(http.MaxBytesReader(w, r.in.Body, limit), limit, g.bodies, 0)
-	var tooLarge *http.MaxBytesError
+	// A caller that sends its body too slowly is not waited for beyond its time limit.
+	body, release, err := inbound.ReadBody(w, r.in, limit, r.deadline)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bounded.ErrTooLong):
 		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
-	case errors.Is(err, bounded.ErrBudget):
+	case errors.Is(err, inbound.ErrOverloaded):
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "%v", err).WithRetryAfter(time.Second)
 	case isTimeout(err):
 		return verdict.Refuse(http.StatusRequestTimeout, verdict.ReasonDeadline, "the body did not arrive in time")
 	case err != nil:
 		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body did not arrive in full: %v", err)
 	}
-	_ = deadline.SetReadDeadline(time.Time{})
-	r.body, r.bodyBytes, r.read = body, taken, time.Now()
+	r.body, r.releaseBody, r.read = body, release, time.Now()
 	return nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/feed"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
@@ -108,9 +109,11 @@
 // testGateway is a gateway in front of fake backend servers.
 type testGateway struct {
 	gateway *Gateway
-	url     string
-	source  *fakeStore
-	log     *lockedBuffer
+	// listener is that of the callers' connections.
+	listener *inbound.Listener
+	url      string
+	source   *fakeStore
+	log      *lockedBuffer
 }
 
 // fakeStore is a feed.Source and feed.Documents with fixed content.
@@ -245,12 +248,20 @@
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
 	running.Go(func() { g.Run(ctx) })
-	server := httptest.NewServer(g)
+	listener, err := inbound.Listen("127.0.0.1:0", inbound.Limits{Connections: 1000, RequestBytes: 1 << 26}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(g)
+	_ = server.Listener.Close()
+	server.Listener = listener
+	listener.Configure(server.Config)
+	server.Start()
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close(); cancel(); running.Wait() })
 	for !g.Ready() || len(g.services.get("plain").pool.Servers())+len(g.services.get("model").pool.Servers()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	return &testGateway{gateway: g, url: server.URL, source: src, log: log}
+	return &testGateway{gateway: g, listener: listener, url: server.URL, source: src, log: log}
 }
 
 var requests atomic.Int64
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -44,6 +44,8 @@
 	// a rank's machine, and preparing it less than 5 s.
 	callReadTimeout = 10 * time.Second
 	callHeaderBytes = 16 << 10
+	// callWriteTimeout limits the time from the head of a call to the end of its answer.
+	callWriteTimeout = 20 * time.Second
 	// addressLifetime is how long callers cache the gateway addresses. Callers
 	// leave a stopping gateway within three times this time.
 	addressLifetime = 1500 * time.Millisecond
@@ -143,8 +145,8 @@
 		Zone: fleet.AvailabilityZone(config.Zone), Feed: p.feed, Headers: adapter.Headers, Recorder: p.recorder,
 		Metrics: gateway.NewMetrics(p.metrics.Scope), RevocationDelay: config.Bounds.RevocationDelay(),
 		Retries: p.retries, AnnounceRetry: p.retryExchange.AnnounceService,
-		MemoryBytes: int64(config.Limits.MemoryMB) * 1e6,
-		Quarantine:  registry, Suspicions: p.suspicions,
+		MemoryBytes: int64(config.Limits.MemoryMB) * 1e6, IdleConnections: int(idleShare * sockets(config.Limits)),
+		Quarantine: registry, Suspicions: p.suspicions,
 	})
 	socket, err := peers.Open(config.Listen.Control)
 	if err != nil {
@@ -196,17 +198,17 @@
 	group.Go(func() error { return p.socket.Receive(p.receive, p.malformed) })
 	p.callers = &http.Server{
 		Handler: p.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: errorLog(p.recorder),
+		ErrorLog: errorLog(p.recorder), Addr: p.config.Listen.Callers,
 	}
-	servers := []*http.Server{
-		p.callers,
-		controlServer(p.config.Listen.Directory, p.adapter.Directory(p.addresses)),
-		controlServer(p.config.Listen.Ready, p.adapter.Ready(p.gateway.Ready)),
-		controlServer(metricsAddress(p.config), p.metrics.Handler),
+	limits := p.config.Limits
+	servers := []boundedServer{
+		{"callers", p.callers, callerLimits(limits)},
+		{"directory", controlServer(p.config.Listen.Directory, p.adapter.Directory(p.addresses)), callLimits(limits, directoryShare, callMemoryShare)},
+		{"ready", controlServer(p.config.Listen.Ready, p.adapter.Ready(p.gateway.Ready)), callLimits(limits, callShare, callMemoryShare)},
+		{"metrics", controlServer(metricsAddress(p.config), p.metrics.Handler), callLimits(limits, callShare, callMemoryShare)},
 	}
-	p.callers.Addr = p.config.Listen.Callers
 	for _, s := range servers {
-		group.Go(func() error { return serve(s) })
+		group.Go(func() error { return s.serve(p.metrics, p.recorder) })
 	}
 	group.Go(func() error {
 		select {
@@ -233,17 +235,11 @@
 // bytes and time.
 func controlServer(address string, h http.Handler) *http.Server {
 	return &http.Server{
-		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: callReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: callHeaderBytes,
+		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: callReadTimeout, WriteTimeout: callWriteTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: callHeaderBytes,
 	}
 }
 
-func serve(s *http.Server) error {
-	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // drain shuts the gateway down gracefully. It notifies the other gateways, keeps
 // accepting callers for drainNotice, and then closes the listener and waits for
 // open requests until the stop deadline.
--- a/internal/node/pages_test.go
+++ b/internal/node/pages_test.go
@@ -17,7 +17,7 @@
 	}
 	event := regexp.MustCompile(`\.Record\("([a-z_]+)"`)
 	metric := regexp.MustCompile(`\.(?:Counter|Gauge|Histogram)\("([a-z_]+)"`)
-	for _, folder := range []string{"feed", "gateway", "node", "mapcontrol", "rankagent", "peers"} {
+	for _, folder := range []string{"feed", "gateway", "node", "mapcontrol", "rankagent", "peers", "inbound"} {
 		err := filepath.WalkDir(filepath.Join("..", folder), func(path string, d fs.DirEntry, err error) error {
 			if err != nil || d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
 				return err
--- a/internal/node/rankagent.go
+++ b/internal/node/rankagent.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"strconv"
 
@@ -48,9 +47,12 @@
 	})
 	recorder.Record("started", "", events.F("zone", config.Zone), events.F("address", address), events.F("engine", config.Rank.Engine))
 	group, running := errgroup.WithContext(ctx)
-	servers := []*http.Server{controlServer(address, agent.Handler()), controlServer(metricsAddress(config), processMetrics.Handler)}
+	servers := []boundedServer{
+		{"control", controlServer(address, agent.Handler()), callLimits(config.Limits, agentShare, agentMemoryShare)},
+		{"metrics", controlServer(metricsAddress(config), processMetrics.Handler), callLimits(config.Limits, callShare, callMemoryShare)},
+	}
 	for _, s := range servers {
-		group.Go(func() error { return serve(s) })
+		group.Go(func() error { return s.serve(processMetrics, recorder) })
 	}
 	group.Go(func() error { agent.Run(running); return nil })
 	group.Go(func() error {
--- a/internal/rankagent/calls.go
+++ b/internal/rankagent/calls.go
@@ -26,6 +26,9 @@
 	// maxCallBytes limits the body of a call: a map of 58 layers with 6 experts on each
 	// of 1,100 ranks has about 1.2 MB.
 	maxCallBytes = 2 << 20
+	// callReadTimeout limits the time to read a call: a map of a large group takes 2 s over the
+	// link of a rank's machine, and preparing it less than 5 s.
+	callReadTimeout = 10 * time.Second
 	// callTimeout limits calls that only read state.
 	callTimeout = 500 * time.Millisecond
 )
--- a/internal/rankagent/server.go
+++ b/internal/rankagent/server.go
@@ -2,13 +2,14 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 )
 
@@ -45,7 +46,8 @@
 // decodeCall decodes the body of a call. If that fails, it sends status 400 and returns
 // false.
 func decodeCall[T any](w http.ResponseWriter, r *http.Request) (*T, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	body, release, err := inbound.ReadBody(w, r, maxCallBytes, time.Now().Add(callReadTimeout))
+	defer release()
 	var value T
 	if err == nil {
 		err = cbor.Unmarshal(body, &value)
