entry, agent: the same bounds for callers and administration; memory for requests

Callers saw: an entry process that takes more memory than it has, and that doesn't answer. The bodies of up to limits.streams requests, 1 MiB each, had no common bound, and at limits.connections new callers waited in the kernel's backlog behind idle ones.

limits.request_bytes (32 MiB) bounds the heads and bodies of all requests. The two listeners with a bound of their own are gone; both addresses use internal/inbound. At limits.connections a new connection takes the place of the one whose client has let the process wait longest.

--- a/internal/adminhttp/adminhttp.go
+++ b/internal/adminhttp/adminhttp.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/metrics"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 )
@@ -59,7 +60,12 @@
 	if err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", o.Address)
+	limits := inbound.Limits{Connections: o.Limits.Connections, RequestBytes: o.Limits.RequestBytes}
+	var notify func(inbound.Event)
+	if o.Metrics != nil {
+		notify = inbound.Report("administration", o.Metrics, o.Recorder)
+	}
+	listener, err := inbound.Listen(o.Address, limits, notify)
 	if err != nil {
 		return nil, fmt.Errorf("administration listener: %w", err)
 	}
@@ -73,7 +79,8 @@
 		// Broken client connections are not faults of this process and are not logged.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
-	return &Server{listener: limitConnections(listener, o.Limits.Connections), server: s}, nil
+	listener.Configure(s)
+	return &Server{listener: listener, server: s}, nil
 }
 
 // Address returns the bound address, with the actual port if port 0 was
--- a/internal/entry/frontend.go
+++ b/internal/entry/frontend.go
@@ -13,10 +13,12 @@
 	"time"
 
 	coltsfootbay "github.com/coltsfootbay/coltsfootbay"
+	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/entry/command"
 	"github.com/coltsfootbay/coltsfootbay/internal/entry/usage"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 	"github.com/coltsfootbay/coltsfootbay/internal/shutdown"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
@@ -53,6 +55,7 @@
 // request is the state of one request. Handlers get it from the context.
 type request struct {
 	id       fleet.RequestID
+	in       *http.Request
 	writer   http.ResponseWriter
 	received time.Time
 	call     *command.Call
@@ -79,7 +82,7 @@
 
 // ServeHTTP checks a request and passes it to its handler.
 func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &request{id: fleet.NewRequestID(), writer: w, received: time.Now()}
+	req := &request{id: fleet.NewRequestID(), in: r, writer: w, received: time.Now()}
 	if strings.HasPrefix(r.URL.Path, servicesPrefix) {
 		req.ticketed = len(r.Header.Values("Ticket")) > 0
 		req.firstUse = command.FirstUse{Stated: slices.Equal(r.Header.Values("Ticket-Attempt"), []string{"1"}), Received: req.received, Paused: f.paused}
@@ -100,6 +103,7 @@
 
 func (f *frontend) refuse(w http.ResponseWriter, req *request, e *verdict.Error) {
 	f.recordEnd(req, e)
+	inbound.AnswerEarly(w, req.in)
 	writeProblem(w, req.id, e)
 }
 
@@ -124,6 +128,7 @@
 	if r.Method != http.MethodGet {
 		return methodNotAllowed(w, http.MethodGet)
 	}
+	inbound.AnswerEarly(w, r)
 	if r.URL.Path == "/openapi.json" {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write(coltsfootbay.OpenAPI)
@@ -150,9 +155,11 @@
 	if f.stop.Outlasts(call.Deadline) {
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonLeaving, "the process stops before the deadline").WithRetryAfter(otherEntryRetryAfter)
 	}
-	if req.body, e = f.readBody(w, r); e != nil {
+	var release func()
+	if req.body, release, e = f.readBody(w, r); e != nil {
 		return e
 	}
+	defer release()
 	r.Body = io.NopCloser(bytes.NewReader(req.body))
 	_ = http.NewResponseController(w).SetWriteDeadline(call.Deadline.Add(writeGrace))
 	f.recorder.Record("request.received", req.id, events.F("account", call.Account.ID), events.F("rank", call.Rank.String()), events.F("path", r.URL.Path))
@@ -207,24 +214,19 @@
 	return now.Add(time.Duration(ms) * time.Millisecond), nil
 }
 
-// readBody reads the whole body. It then clears the read deadline, because
-// net/http would treat its expiry during the handler as a closed connection.
-func (f *frontend) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *verdict.Error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(time.Duration(f.config.Limits.ReadTimeout)))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.config.Limits.BodyBytes))
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
-		return nil, verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", tooLong.Limit)
-	}
-	if err != nil {
-		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body could not be read: %v", err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+// readBody reads the whole body. The caller must call release when it is no longer used.
+func (f *frontend) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), e *verdict.Error) {
+	limit := f.config.Limits.BodyBytes
+	body, release, err := inbound.ReadBody(w, r, limit, time.Now().Add(time.Duration(f.config.Limits.ReadTimeout)))
+	switch {
+	case errors.Is(err, bounded.ErrTooLong):
+		e = verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBadRequest, "the body has more than %d bytes", limit)
+	case errors.Is(err, inbound.ErrOverloaded):
+		e = verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, "%v", err).WithRetryAfter(busyRetryAfter)
+	case err != nil:
+		e = verdict.Refuse(http.StatusBadRequest, verdict.ReasonBadRequest, "the body could not be read: %v", err)
+	}
+	return body, release, e
 }
 
 // recordEnd records and counts the end of a request; e is nil after success.
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/entry/usage"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
+	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/link"
 	"github.com/coltsfootbay/coltsfootbay/internal/member"
 	"github.com/coltsfootbay/coltsfootbay/internal/memory"
@@ -50,9 +51,11 @@
 	commands *command.Commands
 	queries  *query.Queries
 	listener net.Listener
-	server   *http.Server
-	admin    *adminhttp.Server
-	pauses   pauses
+	// bounded is the listener without TLS.
+	bounded *inbound.Listener
+	server  *http.Server
+	admin   *adminhttp.Server
+	pauses  pauses
 
 	leaveOnce sync.Once
 	leaving   chan struct{}
@@ -65,8 +68,8 @@
 	if c.Name == "" || c.Zone == "" {
 		return errors.New("name and zone are required")
 	}
-	if c.Limits.BodyBytes <= 0 || c.Limits.Connections <= 0 || c.Limits.Streams <= 0 || c.Limits.StreamBufferBytes <= 0 {
-		return errors.New("limits.body_bytes, limits.connections, limits.streams and limits.stream_buffer_bytes must be above zero")
+	if c.Limits.BodyBytes <= 0 || c.Limits.RequestBytes <= 0 || c.Limits.Connections <= 0 || c.Limits.Streams <= 0 || c.Limits.StreamBufferBytes <= 0 {
+		return errors.New("limits.body_bytes, limits.request_bytes, limits.connections, limits.streams and limits.stream_buffer_bytes must be above zero")
 	}
 	return nil
 }
@@ -113,11 +116,12 @@
 	if p.endpoint, err = transport.NewEndpoint(p.config.PeerAddress, identity, p.recorder.Clock, true); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", p.config.CallerAddress)
+	limits := inbound.Limits{Connections: p.config.Limits.Connections, RequestBytes: p.config.Limits.RequestBytes}
+	l, err := inbound.Listen(p.config.CallerAddress, limits, inbound.Report("callers", p.metrics, p.recorder))
 	if err != nil {
 		return fmt.Errorf("listen on the callers' address: %w", err)
 	}
-	p.listener = newBoundedListener(l, p.config.Limits.Connections)
+	p.listener, p.bounded = l, l
 	if p.config.Keys.CallerCertificate != "" {
 		if err := p.useCallerTLS(); err != nil {
 			return errors.Join(err, l.Close())
@@ -163,6 +167,7 @@
 		MaxHeaderBytes:    p.config.Limits.HeaderBytes,
 		ErrorLog:          log.New(serverLog{p.recorder}, "", 0),
 	}
+	p.bounded.Configure(p.server)
 }
 
 // newFrontend returns the HTTP handler of the callers' listener.
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -45,8 +45,13 @@
 	// IdleTimeout is the time after which a connection without requests is closed.
 	// Default "60s", range 1s to 1h.
 	IdleTimeout tomlfile.Duration `toml:"idle_timeout"`
+	// RequestBytes is the memory that the heads and bodies of all requests together may take.
+	// Unit: bytes. Default 33554432, range 4194304 to 1099511627776. If it is used up, the
+	// request that arrives most slowly is refused with status 503 and verdict not_run.
+	RequestBytes int64 `toml:"request_bytes"`
 	// Connections is the largest number of open connections. Default 4096, range 1 to 1000000.
-	// Further connections wait in the kernel's backlog.
+	// At the limit a new connection takes the place of the one whose client has let the
+	// process wait longest.
 	Connections int `toml:"connections"`
 	// Streams is the largest number of requests in flight. Default 2048, range 1 to
 	// 1000000.
@@ -61,6 +66,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		BodyBytes:         1 << 20,
+		RequestBytes:      32 << 20,
 		HeaderBytes:       32 << 10,
 		ReadTimeout:       tomlfile.Duration(10 * time.Second),
 		IdleTimeout:       tomlfile.Duration(time.Minute),
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -119,6 +119,7 @@
 
 func checkLimits(f *tomlfile.File, l Limits) {
 	tomlfile.InRange(f, "limits.body_bytes", l.BodyBytes, 1<<10, 1<<20)
+	tomlfile.InRange(f, "limits.request_bytes", l.RequestBytes, 4<<20, 1<<40)
 	tomlfile.InRange(f, "limits.header_bytes", l.HeaderBytes, 4<<10, 1<<20)
 	f.DurationInRange("limits.read_timeout", l.ReadTimeout, 100*time.Millisecond, 5*time.Minute)
 	f.DurationInRange("limits.idle_timeout", l.IdleTimeout, time.Second, time.Hour)
