outbound: one place decides what an answer is

Cause: the kernel reports a reset once, to whoever reads or writes first. When the writer of the upload has met it, the reader sees an orderly end, which ends an answer without a length. And the HTTP library accepts names with blanks, statuses below 100, 101 and above 599, any protocol version, and ignores the transfer encoding of HTTP/1.0. Calls to engines and to the store stopped reading at the end of the JSON, so an answer that was cut behind it counted.

internal/outbound makes the HTTP clients of all processes. Redirects are not followed by any client now.

--- a/internal/agent/dial.go
+++ b/internal/agent/dial.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
+	"github.com/coltsfootbay/coltsfootbay/internal/outbound"
 )
 
 // dialTimeout limits the connection setup to the backend server.
@@ -36,11 +37,10 @@
 // connection. The server may close a reused connection while the request is
 // being written, in which case it is unknown whether the request ran.
 func newTransport(begin func() error) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: bounded.LimitUnread}
 	return &http.Transport{
-		DisableKeepAlives:      true,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: bounded.HeaderBytes,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -51,11 +51,5 @@
 	}
 }
 
-// newClient returns an HTTP client for one run. It does not follow redirects,
-// because that would run the request a second time.
-func newClient(begin func() error) *http.Client {
-	return &http.Client{
-		Transport:     newTransport(begin),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
+// newClient returns an HTTP client for one run.
+func newClient(begin func() error) *http.Client { return outbound.NewClient(newTransport(begin)) }
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -4,14 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"reflect"
 	"sync"
 	"time"
 
-	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
 	"github.com/coltsfootbay/coltsfootbay/internal/events"
+	"github.com/coltsfootbay/coltsfootbay/internal/outbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/settings"
 	"github.com/coltsfootbay/coltsfootbay/internal/verdict"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
@@ -71,9 +70,8 @@
 func newServer(c settings.BackendServer) *server {
 	// Set a Transport, because the default one uses the proxy from the
 	// environment.
-	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{
-		MaxIdleConns: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: bounded.HeaderBytes,
-	}}
+	client := outbound.NewClient(&http.Transport{MaxIdleConns: 1, IdleConnTimeout: time.Minute})
+	client.Timeout = probeTimeout
 	return &server{config: c, client: client, state: serverState{slots: c.Slots}}
 }
 
@@ -93,11 +91,14 @@
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
+	body, err := outbound.ReadAll(response, maxControlBytes)
+	if err != nil {
+		return fmt.Errorf("GET %s: %w", path, err)
+	}
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("GET %s: status %d", path, response.StatusCode)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxControlBytes)).Decode(into)
+	return json.Unmarshal(body, into)
 }
 
 // probeLoop probes the server's health and reads its load and cache events once
--- a/internal/cli/adminclient.go
+++ b/internal/cli/adminclient.go
@@ -15,7 +15,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
+	"github.com/coltsfootbay/coltsfootbay/internal/outbound"
 )
 
 const (
@@ -49,7 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	shared := &http.Client{Timeout: adminTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: bounded.HeaderBytes}}
+	shared := outbound.NewClient(&http.Transport{})
+	shared.Timeout = adminTimeout
 	var clients []*adminClient
 	for _, base := range f.urls {
 		u, err := url.Parse(base)
@@ -78,7 +79,10 @@
 	decoder := json.NewDecoder(io.LimitReader(response.Body, maxAdminBytes))
 	// Event fields and counters may exceed the integers that a float64 holds.
 	decoder.UseNumber()
-	return decoder.Decode(target)
+	if err := decoder.Decode(target); err != nil {
+		return err
+	}
+	return outbound.CheckEnd(response.Body, maxAdminBytes)
 }
 
 // withoutURL removes the URL from an HTTP client's error, because callers print it
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -16,6 +16,7 @@
 
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/jsonstream"
+	"github.com/coltsfootbay/coltsfootbay/internal/outbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/wire"
 )
 
@@ -188,11 +189,7 @@
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
-	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &platformClient{
-		base:   strings.TrimSuffix(base, "/"),
-		client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
-	}
+	return &platformClient{base: strings.TrimSuffix(base, "/"), client: outbound.NewClient(transport)}
 }
 
 func (p *platformClient) close() { p.client.CloseIdleConnections() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootbay/coltsfootbay/internal/feed"
 	"github.com/coltsfootbay/coltsfootbay/internal/fleet"
 	"github.com/coltsfootbay/coltsfootbay/internal/inbound"
+	"github.com/coltsfootbay/coltsfootbay/internal/outbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 	"github.com/coltsfootbay/coltsfootbay/internal/quarantine"
 	"github.com/coltsfootbay/coltsfootbay/internal/retry"
@@ -103,8 +104,8 @@
 	g := &Gateway{
 		Config:          c,
 		services:        newServices(c.Zone, c.Recorder),
-		keepAliveClient: &http.Client{Transport: newTransport(c.IdleConnections, false), CheckRedirect: noRedirect},
-		oneShotClient:   &http.Client{Transport: newTransport(0, true), CheckRedirect: noRedirect},
+		keepAliveClient: outbound.NewClient(newTransport(c.IdleConnections, false)),
+		oneShotClient:   outbound.NewClient(newTransport(0, true)),
 		answers:         bounded.NewBudget(int64(answerMemoryShare * float64(c.MemoryBytes))),
 		stop:            shutdown.New(),
 	}
@@ -114,19 +115,16 @@
 
 func newTransport(idleConnections int, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
-		DisableCompression:     true,
-		DisableKeepAlives:      disableKeepAlives,
-		MaxIdleConns:           idleConnections,
-		MaxIdleConnsPerHost:    maxIdleConnsPerServer,
-		IdleConnTimeout:        idleConnTimeout,
-		ExpectContinueTimeout:  0,
-		MaxResponseHeaderBytes: bounded.HeaderBytes,
+		DialContext:           dial,
+		DisableCompression:    true,
+		DisableKeepAlives:     disableKeepAlives,
+		MaxIdleConns:          idleConnections,
+		MaxIdleConnsPerHost:   maxIdleConnsPerServer,
+		IdleConnTimeout:       idleConnTimeout,
+		ExpectContinueTimeout: 0,
 	}
 }
 
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // dial opens a connection that is reset when it is closed. Otherwise a machine that was
 // frozen could read and run a request that the gateway has already abandoned.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/rankagent/calls.go
+++ b/internal/rankagent/calls.go
@@ -4,13 +4,12 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/coltsfootbay/coltsfootbay/internal/bounded"
+	"github.com/coltsfootbay/coltsfootbay/internal/outbound"
 	"github.com/coltsfootbay/coltsfootbay/internal/peers"
 )
 
@@ -51,9 +50,7 @@
 type Client struct{ address string }
 
 // agentClient is shared because all clients then use one connection pool.
-var agentClient = &http.Client{Transport: &http.Transport{
-	MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second, MaxResponseHeaderBytes: bounded.HeaderBytes,
-}}
+var agentClient = outbound.NewClient(&http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 15 * time.Second})
 
 // NewClient returns a client for the agent at an address.
 func NewClient(address string) *Client { return &Client{address: address} }
@@ -109,8 +106,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes))
+	answer, err := outbound.ReadAll(resp, maxCallBytes)
 	if err != nil {
 		return err
 	}
