harness: the ports of a process and of its metrics are free together

Cause: the metrics port is ten above the first one. A fleet took eleven ports one by one and supposed that they follow each other. Ports.Next skips ports that another process has bound, and goes on in another block at the end of one. With 20010 bound, the old way returned 20000 (checked with a test in place of the new one); the last ten ports of a block lead into one that may be of another fleet. NextWith returns a port that is followed by free ones of the same block.

--- a/integration/harness/process.go
+++ b/integration/harness/process.go
@@ -292,6 +292,31 @@
 	return "", errNoPort
 }
 
+// NextWith returns a loopback address like Next, whose port is followed by above more that
+// are free. It claims another block where the current one has no such ports.
+func (p *Ports) NextWith(above int) (string, error) {
+	const tries = 1000
+	for range tries {
+		if p.next+above >= p.end {
+			if err := p.claim(); err != nil {
+				return "", err
+			}
+			continue
+		}
+		first, free := p.next, true
+		for port := first; port <= first+above; port++ {
+			free = free && !p.bound[port]
+		}
+		if !free {
+			p.next++
+			continue
+		}
+		p.next = first + above + 1
+		return loopback(first), nil
+	}
+	return "", errNoPort
+}
+
 // claim tries to claim a random block of ports.
 func (p *Ports) claim() error {
 	first := firstPort + portsPerBlock*rand.N((lastPort-firstPort)/portsPerBlock)
--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -262,17 +262,19 @@
 	return f.engines[n].proxy.Address()
 }
 
+// metricsOffset is how far the port for metrics is above the free port of a process.
+const metricsOffset = 10
+
 // metricsAddress returns the address of the metrics of a process with this free port.
-func metricsAddress(free int) string { return fmt.Sprintf("127.0.0.1:%d", free+10) }
+func metricsAddress(free int) string { return fmt.Sprintf("127.0.0.1:%d", free+metricsOffset) }
 
-// freePort returns a free port. It takes ten more ports so that the port 10 above
-// it, which serves metrics, is free as well.
+// freePort returns a free port whose port for metrics is free as well.
 func (f *fleet) freePort() int {
-	first := port(f.address())
-	for range 10 {
-		f.address()
+	address, err := f.ports.NextWith(metricsOffset)
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	return first
+	return port(address)
 }
 
 func (f *fleet) settings(dir, name string, n int, listen string, free int, seeds []string, store, engine string) string {
