soak: clients that do not behave come and go beside all other faults

TestSoakWithCrowds sends crowds of each shape, 1 to 200 clients for up to 4 s, to one gateway after the other while all other faults are injected, with 96 MB and 600 descriptors for each process, and checks the gateways' memory and descriptors beside all rules.

--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -48,6 +48,9 @@
 	if f.restoring {
 		x.wait.Go(func() { x.restoreStore(seed) })
 	}
+	if f.crowded {
+		x.wait.Go(func() { x.sendCrowds(t, seed) })
+	}
 	x.run(*faultTime)
 	x.note("faults have ended")
 	f.store.RewriteLost()
--- a/integration/soak/crowd_test.go
+++ b/integration/soak/crowd_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -13,10 +15,6 @@
 )
 
 const (
-	// crowdMemoryMB and crowdDescriptors are the limits of each process in the tests with
-	// crowds.
-	crowdMemoryMB    = 96
-	crowdDescriptors = 600
 	// crowdBodyBytes is the limit of a request's body.
 	crowdBodyBytes = 4 << 20
 	// crowdTime is how long the usage of a process is measured before an ordinary caller
@@ -28,6 +26,16 @@
 	callBytes = 2 << 20
 )
 
+// crowdMemoryMB and crowdDescriptors are the limits of each process in the tests with crowds, and
+// crowdScale multiplies the clients.
+var crowdMemoryMB, crowdDescriptors, crowdScale int
+
+func init() {
+	flag.IntVar(&crowdMemoryMB, "memory", 96, "memory of each process in the tests with crowds, in MB")
+	flag.IntVar(&crowdDescriptors, "descriptors", 600, "descriptors of each process in the tests with crowds")
+	flag.IntVar(&crowdScale, "crowd", 1, "factor of the number of clients in the tests with crowds")
+}
+
 // crowdClients is the number of clients of each shape.
 var crowdClients = []struct {
 	shape   harness.ClientShape
@@ -89,7 +97,7 @@
 				if keyed {
 					r.Headers += platformtest.KeyHeader + ": key-0-1\r\n"
 				}
-				crowd := harness.StartCrowd(g.callers, x.clients, x.shape, r)
+				crowd := harness.StartCrowd(g.callers, x.clients*crowdScale, x.shape, r)
 				defer crowd.Stop()
 				checkUsage(t, g.Process, crowdTime, addresses...)
 				ask(t, "a request beside the crowd", http.MethodPost, "http://"+g.callers+"/unsafe/x", 100)
@@ -147,7 +155,7 @@
 				if shape == harness.UnreadAnswers {
 					r.Line = method + " " + x.path + " HTTP/1.1"
 				}
-				crowd := harness.StartCrowd(x.address, crowdDescriptors, shape, r)
+				crowd := harness.StartCrowd(x.address, crowdDescriptors*crowdScale, shape, r)
 				defer crowd.Stop()
 				checkUsage(t, x.process, crowdTime/2, x.listens...)
 				ask(t, "a call beside the crowd", method, "http://"+x.address+x.path, 0)
@@ -177,7 +185,37 @@
 		t.Fatal(err)
 	}
 	t.Log(peak)
-	if err := peak.Within(crowdMemoryMB*1e6, crowdDescriptors); err != nil {
+	if err := peak.Within(int64(crowdMemoryMB)*1e6, crowdDescriptors); err != nil {
 		t.Error(err)
 	}
 }
+
+const (
+	// soakCrowd is the largest crowd of a soak, and soakCrowdTime the longest time that it
+	// stays.
+	soakCrowd     = 200
+	soakCrowdTime = 4 * time.Second
+)
+
+// sendCrowds sends crowds to one gateway after the other, and checks what each gateway takes,
+// while other faults are injected.
+func (x *faults) sendCrowds(t *testing.T, seed int64) {
+	random := rand.New(rand.NewPCG(uint64(seed), 33))
+	for end := x.began.Add(*faultTime); time.Now().Before(end); {
+		g := x.fleet.gateways[random.IntN(gateways)]
+		shape := crowdClients[random.IntN(len(crowdClients))].shape
+		clients, length := 1+random.IntN(soakCrowd), time.Duration(random.Int64N(int64(soakCrowdTime)))
+		r := harness.CrowdRequest{Line: "POST /safe/crowd HTTP/1.1", Headers: "Host: " + host + "\r\n", IDHeader: platformtest.IDHeader, BodyBytes: 1 << 20}
+		x.note("%s: %d clients for %s: %s", g.Name, clients, length.Round(time.Millisecond), shape)
+		crowd := harness.StartCrowd(g.callers, clients, shape, r)
+		for left := time.Now().Add(length); time.Now().Before(left); time.Sleep(50 * time.Millisecond) {
+			// An error means that another fault has ended the process.
+			if u, err := harness.ReadUsage(g.PID(), g.callers); err == nil {
+				if err := u.Within(int64(crowdMemoryMB)*1e6, crowdDescriptors); err != nil {
+					t.Errorf("%s, %d clients, %s: %v", g.Name, clients, shape, err)
+				}
+			}
+		}
+		crowd.Stop()
+	}
+}
--- a/integration/soak/fleet_test.go
+++ b/integration/soak/fleet_test.go
@@ -71,6 +71,8 @@
 	// restoring restores the store from older copies beside the other faults.
 	restoring bool
 	added     addedRoutes
+	// crowded lets clients that do not behave come and go.
+	crowded bool
 	// memoryMB and descriptors are the limits of each process.
 	memoryMB, descriptors int
 	// crashCauses holds the parts of prompts and the paths that crashed servers.
--- a/integration/soak/soak_test.go
+++ b/integration/soak/soak_test.go
@@ -66,6 +66,12 @@
 	soakSeeds(t, nil, func(f *fleet) { f.restoring = true })
 }
 
+// Guards against violated guarantees, and against gateways that take more than their machines
+// have, while clients that do not behave come and go beside all other faults.
+func TestSoakWithCrowds(t *testing.T) {
+	soakSeeds(t, nil, func(f *fleet) { f.crowded, f.memoryMB, f.descriptors = true, crowdMemoryMB, crowdDescriptors })
+}
+
 // Guards against violated guarantees under combinations of faults that no
 // dedicated test covers.
 func TestSoak(t *testing.T) { soakSeeds(t, failedSeeds) }
