inbound: two tests wait for what they suppose

The listener refuses a connection by a reset as soon as it is accepted, and the kernel may deliver that before connect has returned to the client. It is the refusal that the test waits for; its checks count refusals at the listener. Any other error of connect still fails the test.

The test opened further connections before the first one's request was in service; until then the first one is the longest waiting, and is the one to give way.

--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,9 +88,13 @@
 	answers *bufio.Reader
 }
 
+// dial connects. A connection that the server has refused by then is a closed one.
 func (s *server) dial(t *testing.T) *client {
 	c, err := net.Dial("tcp", s.Addr().String())
-	if err != nil {
+	if errors.Is(err, syscall.ECONNRESET) {
+		c, _ = net.Pipe()
+		_ = c.Close()
+	} else if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
@@ -130,6 +135,16 @@
 	}
 }
 
+// waitInService waits until n connections are open and none of them waits for its client.
+func (s *server) waitInService(t *testing.T, n int) {
+	t.Helper()
+	eventually(t, "the requests are not in service", func() bool {
+		s.Listener.mu.Lock()
+		defer s.Listener.mu.Unlock()
+		return s.open == n && s.waiting.Len() == 0
+	})
+}
+
 // Guards against idle clients that take all connections.
 func TestNewConnectionTakesThePlaceOfTheLongestWaiting(t *testing.T) {
 	is := is.New(t)
@@ -169,13 +184,7 @@
 	is := is.New(t)
 	s := start(t, Limits{Connections: 2, RequestBytes: 1 << 20})
 	held := []*client{s.dial(t).post("/held", 3, 3), s.dial(t).post("/held", 3, 3)}
-	eventually(t, "the requests are not in service", func() bool {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.Listener.mu.Lock()
-		defer s.Listener.mu.Unlock()
-		return s.open == 2 && s.waiting.Len() == 0
-	})
+	s.waitInService(t, 2)
 	is.Equal(s.dial(t).post("/", 3, 3).status(), 0)
 	is.True(s.count(ConnectionRefused) >= 1)
 	close(s.held)
@@ -190,6 +199,7 @@
 	is := is.New(t)
 	s := start(t, Limits{Connections: 1, RequestBytes: 1 << 20})
 	busy := s.dial(t).post("/held", 3, 3).post("/", 3, 3)
+	s.waitInService(t, 1)
 	eventually(t, "no connection is refused", func() bool {
 		_ = s.dial(t).Close()
 		return s.count(ConnectionRefused) > 0
