outbound: a head that arrives in pieces is searched once

Each piece made the search for the end of the head begin anew: a head of 64 KB that arrives in pieces of 4 KB was searched 16 times. The connection keeps how much of a head are whole lines.

--- a/internal/outbound/conn.go
+++ b/internal/outbound/conn.go
@@ -33,9 +33,11 @@
 	// invalid is the error of a head that is none.
 	invalid atomic.Pointer[error]
 	// inHead is true from the start of a request until the head of its answer was read, and
-	// head is what has been read of it. Only the reader uses head.
-	inHead atomic.Bool
-	head   []byte
+	// head is what has been read of it; its first scanned bytes are whole lines. Only the
+	// reader uses both.
+	inHead  atomic.Bool
+	head    []byte
+	scanned int
 }
 
 // expectAnswer says that a request begins: the next bytes are the head of its answer.
@@ -86,8 +88,8 @@
 func (c *conn) readHead(data []byte) error {
 	c.head = append(c.head, data...)
 	for {
-		end := headEnd(c.head)
-		if end < 0 {
+		var end int
+		if end, c.scanned = headEnd(c.head, c.scanned); end < 0 {
 			if len(c.head) > bounded.HeaderBytes {
 				// The HTTP library ends the request at this size.
 				c.endHead()
@@ -99,29 +101,27 @@
 			c.endHead()
 			return err
 		}
-		c.head = c.head[end:]
+		c.head, c.scanned = c.head[end:], 0
 	}
 }
 
 func (c *conn) endHead() {
 	c.inHead.Store(false)
-	c.head = nil
+	c.head, c.scanned = nil, 0
 }
 
-// headEnd returns the length of a head with the empty line that ends it, or -1.
-func headEnd(data []byte) int {
-	for i := 0; ; {
-		n := bytes.IndexByte(data[i:], '\n')
+// headEnd returns the length of a head with the empty line that ends it, or -1, and the length
+// of its whole lines. The first scanned bytes are whole lines without the empty one.
+func headEnd(data []byte, scanned int) (end, lines int) {
+	for {
+		n := bytes.IndexByte(data[scanned:], '\n')
 		if n < 0 {
-			return -1
+			return -1, scanned
 		}
-		i += n + 1
-		rest := data[i:]
-		switch {
-		case bytes.HasPrefix(rest, []byte("\n")):
-			return i + 1
-		case bytes.HasPrefix(rest, []byte("\r\n")):
-			return i + 2
+		line := data[scanned : scanned+n]
+		scanned += n + 1
+		if scanned > n+1 && (len(line) == 0 || len(line) == 1 && line[0] == '\r') {
+			return scanned, scanned
 		}
 	}
 }
