inbound: a connection that was closed takes no memory

Found on reading the diff: a connection may be closed for another one while its server still has bytes to read. The memory that such bytes took was counted for a connection that had left its listener, and what is not released by a handler (heads) was never returned. Crowds would have used up the memory for requests little by little, until every request was refused.

Bytes of such a connection are refused. TestClosedConnectionTakesNoMemory fails without the check.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -33,8 +33,9 @@
 	head, charged int64
 	// since is when the current request began to take memory, and inBody is true while its
 	// body is read.
-	since   time.Time
-	inBody  bool
+	since  time.Time
+	inBody bool
+	// evicted is true once the current request was given up.
 	evicted bool
 }
 
--- a/internal/inbound/inbound_test.go
+++ b/internal/inbound/inbound_test.go
@@ -284,6 +284,22 @@
 	eventually(t, "memory is not returned", func() bool { return s.Used() == 0 })
 }
 
+// Guards against memory that is taken for a connection after it was closed for another one, and
+// that nothing returns.
+func TestClosedConnectionTakesNoMemory(t *testing.T) {
+	is := is.New(t)
+	s := start(t, Limits{Connections: 1, RequestBytes: 1 << 20})
+	s.dial(t)
+	eventually(t, "the connection is not accepted", func() bool { return s.Open() == 1 })
+	s.Listener.mu.Lock()
+	closed := s.waiting.Front().Value.(*conn)
+	s.Listener.mu.Unlock()
+	is.Equal(s.dial(t).post("/", 3, 3).status(), http.StatusOK)
+	is.True(!closed.countHead([]byte(strings.Repeat("a:\r\n", 1000))))
+	is.True(!request{closed}.Take(1000))
+	eventually(t, "memory is not returned", func() bool { return s.Used() == 0 })
+}
+
 // Guards against a refusal that waits for a body that does not come, and against a
 // connection that is closed after a refusal although the body has arrived.
 func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
--- a/internal/inbound/memory.go
+++ b/internal/inbound/memory.go
@@ -11,7 +11,7 @@
 
 const (
 	// smallRequestBytes is the size up to which a request may take the last part of the
-	// memory, largeShare is the fraction that larger ones may take.
+	// memory, and largeShare the fraction that larger ones may take.
 	smallRequestBytes = 64 << 10
 	largeShare        = 0.75
 	// evictableAfter is the age after which a request that has not arrived in full may be
@@ -25,7 +25,7 @@
 	if n <= 0 {
 		return true
 	}
-	if c.evicted {
+	if c.evicted || !c.counted {
 		return false
 	}
 	if c.charged == 0 {
@@ -100,7 +100,8 @@
 
 // ReadBody reads the body of a request. It returns bounded.ErrTooLong for a body of more than
 // limit bytes, ErrOverloaded if the memory for requests does not suffice, and the error of
-// the connection, which is a time-out after the deadline. release must be called when the body is no longer used.
+// the connection, which is a time-out after the deadline. release must be called when the body
+// is no longer used.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (body []byte, release func(), err error) {
 	release = func() {}
 	if r.Body == nil || r.Body == http.NoBody {
