rankagent: late orders of a switch give no rank another map

Cause: after a disarm, or where no rank was armed, a group was released although arm orders could still be carried out. Their version was still prepared, and the held pass of an idle group does not begin. A late release could also end the hold of the next switch if both held the same pass.

Ruled out: two controllers at a time (claims).

No pass is held by two switches. A rank is disarmed only after another one refuses the version, and ranks are not armed by a successor while none is armed. The four rules are in the comment of Switch.

TestSwitch* and the other tests of the package are unchanged but for what the fake group reports: running requests, and the pass after a claim.

--- a/internal/mapcontrol/change.go
+++ b/internal/mapcontrol/change.go
@@ -73,17 +73,21 @@
 }
 
 // change claims all ranks, prepares a plan on them and switches the group to it.
-func (c *Controller) change(ctx context.Context, g *group, p plan, agents []string, epoch, version int64) {
+func (c *Controller) change(ctx context.Context, g *group, p plan, agents []string, request rankagent.SwitchRequest) {
 	began := time.Now()
+	epoch, version := request.Epoch, request.Version
 	prepare := rankagent.Order{Operation: rankagent.Prepare, Epoch: epoch, Version: version, Map: expertsByRank(p.maps, len(agents))}
-	_, err := rankagent.ClaimAll(ctx, clients(agents), c.Holder)
+	states, err := rankagent.ClaimAll(ctx, clients(agents), c.Holder)
+	if err == nil {
+		request.ClearPass, err = rankagent.ClearPass(states, request.ClearPass)
+	}
 	if err == nil {
 		err = forEachAgent(agents, func(_ int, agent string) error { return rankagent.NewClient(agent).Prepare(ctx, c.Holder, prepare) })
 	}
 	prepared := time.Since(began)
 	var step int64
 	if err == nil {
-		step, err = c.switchTo(ctx, g, agents, epoch, version)
+		step, err = c.switchTo(ctx, g, agents, request)
 		if err != nil {
 			c.resolveSwitch(ctx, g)
 		}
@@ -92,13 +96,18 @@
 		events.F("prepared_ms", prepared.Milliseconds()), events.F("took_ms", time.Since(began).Milliseconds()), events.F("error", errorText(err)))
 	if err != nil {
 		c.Metrics.Counter("map_changes_failed").Inc(1)
-		c.endChange(g, changeRetryDelay, func() { g.maps = nil })
+		c.endChange(g, changeRetryDelay, func() {
+			g.maps = nil
+			if g.epoch == epoch {
+				g.clearPass = max(request.ClearPass, step)
+			}
+		})
 		return
 	}
 	c.Metrics.Counter("map_changes").Inc(1)
 	c.endChange(g, 0, func() {
 		if g.epoch == epoch {
-			g.maps, g.version = p.maps, version
+			g.maps, g.version, g.clearPass = p.maps, version, step
 			g.limiter.imbalance = p.after
 			for _, r := range g.ranks {
 				// The stored reports are older than the switch.
@@ -112,19 +121,16 @@
 // place. The orders go directly to the engines: if this process stops during the
 // switch, another controller can still reach every rank. If an agent coordinated the
 // switch and its machine stopped, that would not be possible.
-func (c *Controller) switchTo(ctx context.Context, g *group, agents []string, epoch, version int64) (step int64, err error) {
+func (c *Controller) switchTo(ctx context.Context, g *group, agents []string, request rankagent.SwitchRequest) (step int64, err error) {
 	engines, all := c.engines(g)
 	if !all {
 		return 0, errors.New("not all engines of the group are known")
 	}
-	heldRank := int(version) % len(engines)
-	passesAhead := int64(rankagent.NextPass)
+	request.PassesAhead = rankagent.NextPass
 	if c.ordersLost() {
-		passesAhead = rankagent.LaterPass
+		request.PassesAhead = rankagent.LaterPass
 	}
-	return rankagent.Switch(ctx, engines, clients(agents), rankagent.SwitchRequest{
-		Holder: c.Holder, Epoch: epoch, Version: version, HeldRank: heldRank, PassesAhead: passesAhead,
-	})
+	return rankagent.Switch(ctx, engines, clients(agents), request)
 }
 
 // lossRecordingEngine calls onLost for each order that gets no answer.
--- a/internal/mapcontrol/controller.go
+++ b/internal/mapcontrol/controller.go
@@ -117,7 +117,7 @@
 		if g.epoch != 0 {
 			c.Recorder.Record("group_epoch", "", events.F("group", g.name), events.F("epoch", r.Epoch), events.F("former", g.epoch))
 		}
-		g.epoch, g.maps, g.version = r.Epoch, nil, 0
+		g.epoch, g.maps, g.version, g.clearPass = r.Epoch, nil, 0, 0
 		g.limiter = limiter{}
 	}
 	g.size = max(r.Size, r.Rank+1)
@@ -220,7 +220,7 @@
 	if g.changing || now.Before(g.pausedUntil) || e.Layers == 0 || c.endPendingSwitch(ctx, g, now) {
 		return
 	}
-	if !g.allReported(now) || !g.sameMap() {
+	if !g.allReported(now) || !g.sameMap() || g.lastPass() < g.clearPass {
 		return
 	}
 	if g.maps == nil || g.version != g.ranks[0].Map {
@@ -260,7 +260,9 @@
 		events.F("pass_ms", g.limiter.meanPass.Milliseconds()), events.F("running", running),
 		events.F("peak", g.limiter.expectedImbalance()), events.F("limit", g.limiter.limit))
 	g.beginChange()
-	go c.change(ctx, g, p, g.agents(), g.epoch, version)
+	go c.change(ctx, g, p, g.agents(), rankagent.SwitchRequest{
+		Holder: c.Holder, Epoch: g.epoch, Version: version, HeldRank: int(version) % g.size, ClearPass: g.clearPass,
+	})
 }
 
 // versionBits is the number of random low bits of a version.
--- a/internal/mapcontrol/group.go
+++ b/internal/mapcontrol/group.go
@@ -26,6 +26,9 @@
 	maps    []placement.Map
 	// highestVersion is the highest version that was used or reported.
 	highestVersion int64
+	// clearPass is the last forward pass of the epoch that a switch may have held, as far as
+	// is known. The next one is planned when that pass has begun.
+	clearPass int64
 	// changing is true while a change is in progress.
 	changing bool
 	// demandShifted is true if demand has shifted since the last plan.
@@ -114,6 +117,15 @@
 	return true
 }
 
+// lastPass returns the last forward pass that a rank has begun.
+func (g *group) lastPass() int64 {
+	var pass int64
+	for _, r := range g.ranks {
+		pass = max(pass, r.Step)
+	}
+	return pass
+}
+
 // agents returns the addresses of the agents, by rank. All ranks must be known.
 func (g *group) agents() []string {
 	out := make([]string, g.size)
--- a/internal/peers/messages.go
+++ b/internal/peers/messages.go
@@ -181,6 +181,9 @@
 	// SwitchPendingMS is how long the agent has seen the rank armed or held, in
 	// milliseconds.
 	SwitchPendingMS int64 `cbor:"17,keyasint,omitempty"`
+	// ClearPass is the last forward pass that a former controller may have held, in an
+	// agent's answer to a claim; 0 if there is none.
+	ClearPass int64 `cbor:"18,keyasint,omitempty"`
 }
 
 // ExpertCounts holds how often the requests of a rank chose experts since the agent's
--- a/internal/rankagent/claim.go
+++ b/internal/rankagent/claim.go
@@ -50,6 +50,11 @@
 	// until is when the claim ends by the monotonic clock. That clock may stand still while
 	// the machine is suspended, which only prolongs the claim.
 	until time.Time
+	// newHolder is true until the rank's state was read after the claim passed to another
+	// controller. clearPass is the last pass of clearEpoch that the former holder may have
+	// held.
+	newHolder             bool
+	clearEpoch, clearPass int64
 }
 
 // newClaims returns the claims of an agent that starts: its former start may have granted
@@ -64,10 +69,25 @@
 	if now.Before(c.until) && c.holder != holder {
 		return false, c.holder
 	}
+	c.newHolder = c.newHolder || c.holder != holder
 	c.holder, c.until = holder, now.Add(claimLease)
 	return true, holder
 }
 
+// addClearPass sets the ClearPass of a report that was read after a claim was granted. The
+// lease of the former holder has ended: it held passes up to LaterPass after the last one
+// that had begun.
+func (c *claims) addClearPass(r *peers.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newHolder {
+		c.newHolder, c.clearEpoch, c.clearPass = false, r.Epoch, r.Step+LaterPass
+	}
+	if c.clearEpoch == r.Epoch {
+		r.ClearPass = c.clearPass
+	}
+}
+
 // excludes reports whether another controller than the given one has the claim.
 func (c *claims) excludes(holder string) bool {
 	c.mu.Lock()
--- a/internal/rankagent/group_test.go
+++ b/internal/rankagent/group_test.go
@@ -19,8 +19,10 @@
 	mu    sync.Mutex
 	epoch int64
 	// pass is the last forward pass that was started.
-	pass  int64
-	ranks []*fakeRank
+	pass int64
+	// running is the number of requests that each rank reports.
+	running int
+	ranks   []*fakeRank
 	// firstMixedPass is the first forward pass that started with different maps, or 0.
 	firstMixedPass int64
 	// stalledFor counts the ticks in which a hold delayed the next forward pass.
@@ -120,7 +122,7 @@
 		return peers.Report{}, errNoAnswer
 	}
 	return peers.Report{
-		Epoch: r.group.epoch, Rank: r.rank, Step: r.group.pass, Map: r.current, Prepared: r.prepared, Armed: r.armed, HoldPass: r.held,
+		Epoch: r.group.epoch, Rank: r.rank, Step: r.group.pass, Running: r.group.running, Map: r.current, Prepared: r.prepared, Armed: r.armed, HoldPass: r.held,
 	}, nil
 }
 
@@ -141,7 +143,11 @@
 	if granted, current := r.claims.take(holder); !granted {
 		return peers.Report{}, fmt.Errorf("%w: %s", errClaimed, current)
 	}
-	return r.Report(ctx)
+	report, err := r.Report(ctx)
+	if err == nil {
+		r.claims.addClearPass(&report)
+	}
+	return report, err
 }
 
 func (r *fakeRank) Order(ctx context.Context, o Order) (Outcome, error) {
--- a/internal/rankagent/server.go
+++ b/internal/rankagent/server.go
@@ -81,6 +81,9 @@
 		return
 	}
 	report, err := a.Engine.Report(r.Context())
+	if err == nil {
+		a.claims.addClearPass(&report)
+	}
 	a.answer(w, &ClaimResult{Granted: true, Holder: holder, Report: report}, err)
 }
 
--- a/internal/rankagent/switch.go
+++ b/internal/rankagent/switch.go
@@ -34,6 +34,8 @@
 	// resolveTimeout limits the time to end a pending switch. A rank that does not
 	// respond by then has been lost, and its group begins a new epoch.
 	resolveTimeout = 2 * time.Second
+	// clearPassTimeout limits the wait for a pass that an earlier switch may have held.
+	clearPassTimeout = 200 * time.Millisecond
 	// prepareTimeout limits the time to copy experts.
 	prepareTimeout = 4 * time.Second
 	// preparedPoll is the time between two checks whether a rank has completed its
@@ -49,18 +51,33 @@
 // rank is armed for that pass, which makes all ranks change with the same pass. engines
 // holds the ranks in order, and agents the agent on the machine of each rank. It first
 // claims the ranks: two controllers that act at the same time could each hold the group
-// and release it while the other one arms the ranks. Switch returns the pass.
+// and release it while the other one arms the ranks. Switch returns the pass, also with
+// an error if an order to hold the group may still be carried out; otherwise it is 0.
+//
+// Any order may be carried out seconds late, after newer ones. Four rules keep that from
+// mixing maps:
+//   - A pass is held by one switch only: a late release can't end another switch's hold.
+//   - The group is released when all ranks are armed for the pass, or when no rank can be
+//     armed any more for a version that was ordered, see discardPrepared.
+//   - A rank is disarmed only when another one can't be armed for that version any more:
+//     nobody completes that switch, and a late disarm has no effect.
+//   - While the group is held and no rank is armed, only the coordinator arms ranks. Its
+//     release may be on the way.
 func Switch(ctx context.Context, engines []Engine, agents []ClaimingReporter, c SwitchRequest) (step int64, err error) {
 	ctx, cancel := withLease(ctx, SwitchLease)
 	defer cancel()
-	if err := claimPrepared(ctx, agents, c); err != nil {
+	states, err := claimPrepared(ctx, agents, c)
+	if err != nil {
+		return 0, err
+	}
+	if c.ClearPass, err = ClearPass(states, c.ClearPass); err != nil {
 		return 0, err
 	}
 	step, err = hold(ctx, engines[c.HeldRank], agents[c.HeldRank], c)
 	if err != nil {
-		return 0, err
+		return step, err
 	}
-	return step, finish(ctx, engines, c.HeldRank, c.Epoch, c.Version, step)
+	return step, finish(ctx, engines, c.HeldRank, states, c.Version, step)
 }
 
 // SwitchRequest describes a switch of a group to a version of its expert map.
@@ -71,91 +88,42 @@
 	// HeldRank is the rank whose hold stops the group.
 	HeldRank int
 	// PassesAhead is how many forward passes after the running one the switch takes
-	// place.
+	// place, at most LaterPass.
 	PassesAhead int64
+	// ClearPass is the last forward pass that an earlier switch may have held; 0 if there
+	// is none. The group is not held until that pass has begun.
+	ClearPass int64
 }
 
-// claimPrepared claims all ranks. It returns an error unless every rank responds now and has
-// prepared the version. If the group were held while a rank does not respond, it would stay
-// held until the rank does.
-func claimPrepared(ctx context.Context, agents []ClaimingReporter, c SwitchRequest) error {
+// claimPrepared claims all ranks and returns their states. It returns an error unless every
+// rank responds now and has prepared the version. If the group were held while a rank does
+// not respond, it would stay held until the rank does.
+func claimPrepared(ctx context.Context, agents []ClaimingReporter, c SwitchRequest) ([]peers.Report, error) {
 	states, err := ClaimAll(ctx, agents, c.Holder)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for rank, s := range states {
 		if s.Epoch != c.Epoch {
-			return errEpoch
+			return nil, errEpoch
 		}
 		if s.Prepared != c.Version {
-			return fmt.Errorf("rank %d has version %d prepared", rank, s.Prepared)
+			return nil, fmt.Errorf("rank %d has version %d prepared", rank, s.Prepared)
 		}
 	}
-	return nil
-}
-
-// Resolve ends a pending switch whose coordinator has stopped. The coordinator may have
-// held the group and armed any of the ranks. engines holds the ranks of the group, and
-// agents the agents on their machines in the same order. It claims the ranks for holder
-// and does nothing while another controller has a claim. Resolve returns the state of the
-// switch that it found.
-func Resolve(ctx context.Context, engines []Engine, agents []ClaimingReporter, holder string) (found string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
-	defer cancel()
-	states, err := latestReports(ctx, engines, agents, holder)
-	if err != nil {
-		return "", err
-	}
-	heldRank := -1
-	var version int64
-	for rank, s := range states {
-		if s.Epoch != states[0].Epoch {
-			return "", errEpoch
-		}
-		if s.HoldPass != 0 {
-			heldRank = rank
-		}
-		version = max(version, s.Armed)
-	}
-	if heldRank < 0 {
-		return "no rank is held", nil
-	}
-	epoch, step := states[0].Epoch, states[heldRank].HoldPass
-	if version == 0 {
-		return "held and not armed", release(ctx, engines[heldRank], epoch, step)
-	}
-	return "held and armed", finish(ctx, engines, heldRank, epoch, version, step)
+	return states, nil
 }
 
-// latestReports claims all ranks and returns their states after the last order of the former
-// coordinator. Agents read them immediately. If an agent is missing or does not respond,
-// the engines are asked, after a pause in which their reports to other machines become
-// newer than that order. The agents that do respond must have granted the claim.
-func latestReports(ctx context.Context, engines []Engine, agents []ClaimingReporter, holder string) ([]peers.Report, error) {
-	states, err := ClaimAll(ctx, agents, holder)
-	switch {
-	case errors.Is(err, errClaimed):
-		return nil, err
-	case err == nil && len(agents) == len(engines):
-		return states, nil
-	}
-	if !pause(ctx, maxReportAge) {
-		return nil, ctx.Err()
-	}
-	return reports(ctx, engines)
-}
-
-// finish arms all ranks for a forward pass that is held at heldRank, and releases it.
-// If a rank cannot be armed, finish disarms all ranks first.
-func finish(ctx context.Context, engines []Engine, heldRank int, epoch, version, step int64) error {
+// finish arms all ranks for a forward pass that is held at heldRank, and releases it. If a
+// rank cannot be armed, finish discards the version on all ranks first.
+func finish(ctx context.Context, engines []Engine, heldRank int, states []peers.Report, version, step int64) error {
+	epoch := states[heldRank].Epoch
 	armed := func(s peers.Report) bool { return s.Armed == version || s.Map == version }
-	failed := all(engines, func(e Engine) error {
+	failed := all(engines, func(_ int, e Engine) error {
 		return sendUntilAnswered(ctx, e, Order{Operation: Arm, Epoch: epoch, Version: version, Step: step}, armed)
 	})
 	if failed != nil && ctx.Err() == nil && !errors.Is(failed, errEpoch) {
-		if err := all(engines, func(e Engine) error {
-			return sendUntilAnswered(ctx, e, Order{Operation: Disarm, Epoch: epoch, Version: version}, neverConfirmed)
-		}); err != nil {
+		if err := discardPrepared(ctx, engines, states); err != nil {
 			return errors.Join(failed, err)
 		}
 	}
@@ -183,23 +151,24 @@
 func neverConfirmed(peers.Report) bool { return false }
 
 // hold stops the group before a forward pass that has not started, and returns that
-// pass. The last started pass is read on the engine's own machine, because an engine's
-// reports to other machines are some hundred milliseconds old.
-func hold(ctx context.Context, e Engine, agent Reporter, c SwitchRequest) (int64, error) {
-	var last error
+// pass. With an error it returns the pass that an order may still hold, or 0. The last
+// started pass is read on the engine's own machine, because an engine's reports to other
+// machines are some hundred milliseconds old.
+func hold(ctx context.Context, e Engine, agent Reporter, c SwitchRequest) (ordered int64, last error) {
 	for range holdAttempts {
-		state, err := agent.Report(ctx)
+		state, err := waitForPass(ctx, agent, c.ClearPass)
 		if err != nil {
-			return 0, err
+			return ordered, err
 		}
 		if state.Epoch != c.Epoch {
-			return 0, errEpoch
+			return ordered, errEpoch
 		}
 		if state.HoldPass != 0 {
-			return 0, fmt.Errorf("the rank is already held before pass %d", state.HoldPass)
+			return ordered, fmt.Errorf("the rank is already held before pass %d", state.HoldPass)
 		}
 		step := state.Step + c.PassesAhead
 		held := func(s peers.Report) bool { return s.HoldPass == step }
+		ordered = step
 		last = sendUntilAnswered(ctx, e, Order{Operation: Hold, Epoch: c.Epoch, Step: step}, held)
 		if last == nil {
 			return step, nil
@@ -208,7 +177,40 @@
 			break
 		}
 	}
-	return 0, last
+	return ordered, last
+}
+
+// errPassPending is the error of a switch that would hold a pass which an earlier switch may
+// have held.
+var errPassPending = errors.New("a pass that an earlier switch may have held has not begun")
+
+// ClearPass returns the last forward pass that an earlier switch may have held, by the states
+// that ClaimAll returned and what the controller itself ordered. The error says that the
+// group is idle before that pass, and therefore can't be switched.
+func ClearPass(states []peers.Report, ordered int64) (pass int64, err error) {
+	pass = ordered
+	var step int64
+	running := 0
+	for _, s := range states {
+		pass, step, running = max(pass, s.ClearPass), max(step, s.Step), running+s.Running
+	}
+	if running == 0 && step < pass {
+		return pass, fmt.Errorf("%w: %d, the group is idle after %d", errPassPending, pass, step)
+	}
+	return pass, nil
+}
+
+// waitForPass returns the state of a rank once a forward pass has begun.
+func waitForPass(ctx context.Context, agent Reporter, pass int64) (peers.Report, error) {
+	for until := time.Now().Add(clearPassTimeout); ; {
+		state, err := agent.Report(ctx)
+		if err != nil || state.Step >= pass {
+			return state, err
+		}
+		if time.Now().After(until) || !pause(ctx, orderRetryPause) {
+			return state, fmt.Errorf("%w: %d, the last one is %d", errPassPending, pass, state.Step)
+		}
+	}
 }
 
 // errConflict is the error of an order that does not fit the engine's state.
@@ -356,13 +358,13 @@
 	return out, errors.Join(errs...)
 }
 
-// all calls f concurrently for every engine and returns the joined errors.
-func all(engines []Engine, f func(Engine) error) error {
+// all calls f concurrently for every rank's engine and returns the joined errors.
+func all(engines []Engine, f func(rank int, e Engine) error) error {
 	errs := make([]error, len(engines))
 	var calls sync.WaitGroup
 	for rank, e := range engines {
 		calls.Go(func() {
-			if err := f(e); err != nil {
+			if err := f(rank, e); err != nil {
 				errs[rank] = fmt.Errorf("rank %d: %w", rank, err)
 			}
 		})
--- a/internal/rankagent/switch_test.go
+++ b/internal/rankagent/switch_test.go
@@ -18,6 +18,7 @@
 
 func startGroup(t *testing.T, g *fakeGroup) {
 	t.Helper()
+	g.running = 1
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { g.run(ctx, passTime); close(done) }()
