gateway, agent: a status proves that a request did not run only with the header

Cause: the verdict of an attempt decided about retries and about the gateway's own answers, but a server's answer was relayed with any status. On related paths: 429, 408 and 421, streams before the first event, safe requests after the last attempt; a 421 without the header counted as not run, so the filing went to another server; the other way to run relayed a service's statuses too.

Now a server that answers 503, 429, 408 or 421 without the header counts as failed. Requests that may be repeated go to another server; the caller gets 502 without the server's signature. The agent answers server_failed, may_have_run. True refusals and all other answers go through as before.

--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -53,6 +53,10 @@
 	if err != nil {
 		return ledger.Answer{}, err
 	}
+	if verdict.StatesNotRun(response.StatusCode) {
+		// The service has been sent the request and may have run it.
+		return errorAnswer(verdict.Uncertain(verdict.ReasonServerFailed, "the service answered with status %d", response.StatusCode)), nil
+	}
 	head := &wire.Response{Status: response.StatusCode, Headers: responseHeaders(response.Header)}
 	return ledger.Answer{Response: head, Body: body}, nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -60,6 +60,9 @@
 	if s.reply.HasLoad && s.reply.ID == r.ID {
 		p.service.pool.Report(p.backend.Server.ID, s.reply.Running+s.reply.Waiting)
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest && s.reply.ID == r.ID {
+		p.service.pool.MarkMisdirected(p.backend)
+	}
 	switch {
 	case s.reply.ID != r.ID:
 		// The response to this request may still follow on the connection.
@@ -70,7 +73,6 @@
 		s.verdict = verdict.NotRun
 		switch {
 		case resp.StatusCode == http.StatusMisdirectedRequest:
-			p.service.pool.MarkMisdirected(p.backend)
 		case s.reply.HasLoad && s.reply.Running+s.reply.Waiting < p.backend.Server.Slots:
 			p.service.recordRefusalWithFreeSlots()
 		default:
@@ -143,7 +145,11 @@
 	return errors.As(err, &n) && n.Timeout()
 }
 
-func retryable(status int) bool { return status >= http.StatusInternalServerError }
+// failed reports whether a server that may have run a request failed it. The statuses that state
+// that it did not run are among them: they come without the server's word that this is so.
+func failed(status int) bool {
+	return status >= http.StatusInternalServerError || verdict.StatesNotRun(status)
+}
 
 // kindName returns the name of a route's kind for logs and metrics.
 func kindName(k deployment.Kind) string {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -28,13 +28,12 @@
 		s, body := g.exchange(ctx, r, p)
 		defer g.answers.Release(s.bodyBytes)
 		last = s
-		if s.err == nil && !retryable(s.resp.StatusCode) && s.verdict != verdict.NotRun {
+		if s.err == nil && !failed(s.resp.StatusCode) && s.verdict != verdict.NotRun {
 			g.relayResponse(w, r, s, body)
 			return
 		}
 		if ctx.Err() != nil || !g.mayRetry(r, s) {
-			// A refusal of this server says nothing about the servers before it.
-			if s.err == nil && (s.verdict != verdict.NotRun || r.runs == 0) {
+			if s.err == nil && r.mayRelay(s) {
 				g.relayResponse(w, r, s, body)
 				return
 			}
@@ -45,6 +44,16 @@
 	}
 }
 
+// mayRelay reports whether the response of the last server may be sent to the caller. A
+// refusal of this server says nothing about the servers before it, and a status which states
+// that the request did not run is relayed only if no server may have run it.
+func (r *request) mayRelay(s sendResult) bool {
+	if s.verdict == verdict.NotRun {
+		return r.runs == 0
+	}
+	return !verdict.StatesNotRun(s.resp.StatusCode)
+}
+
 // exchange sends a request and reads the whole response. The caller must release
 // sendResult.bodyBytes.
 func (g *Gateway) exchange(ctx context.Context, r *request, p *slot) (sendResult, []byte) {
@@ -69,7 +78,7 @@
 		g.recordBroken(r, p, s, sentAt, 0)
 	}
 	switch {
-	case s.err != nil, retryable(s.resp.StatusCode) && s.verdict != verdict.NotRun:
+	case s.err != nil, failed(s.resp.StatusCode) && s.verdict != verdict.NotRun:
 		g.recordFailure(ctx, r, p, s)
 	case s.verdict != verdict.NotRun:
 		p.service.pool.RecordSuccess(p.backend)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -350,7 +350,7 @@
 	out.err = errFailedByServer
 	if out.verdict == verdict.NotRun {
 		out.err = errRefusedByServer
-	} else if !retryable(out.resp.StatusCode) && !s.headersSent {
+	} else if !failed(out.resp.StatusCode) && !s.headersSent {
 		// The request itself is invalid; another server would respond in the same way.
 		body, taken, err := bounded.Read(out.resp.Body, maxBufferedBytes, s.g.answers, freeAnswerBytes)
 		defer s.g.answers.Release(taken)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -21,6 +21,16 @@
 	Completed  Verdict = "completed"
 )
 
+// StatesNotRun reports whether an HTTP status tells a caller that its request did not run and
+// never will. A backend server may also answer with it after it has run the request.
+func StatesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Reason is the machine-readable cause of a failure.
 type Reason string
 
