feed: a late heartbeat does not bring the only server of a service back

Cause: a start that has left does not return, except as the only server of its service, because its entry may have expired. Whether the entry was older than the removed one was not asked. The number that each write of a start has tells it; it was not read. On related paths a second late write prolonged the first one's entry, which was then used after 5 s, also that of a former start.

Now an entry whose number is not above the highest one of its start is late and not used at once. Late entries are used 5 s after the last one, or after the first of three: a server that runs writes more often. Higher numbers and later starts are treated as before, so a server that runs is used as soon as before.

TestLateWritesOfOnlyServerThatLeft: 8 of 14 cases fail before.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -162,7 +162,9 @@
 	// StartMS is the start time in Unix milliseconds; zero if unknown. A server may
 	// restart under its previous ID.
 	StartMS int64
-	Service string
+	// Sequence grows with each entry that one start of the server writes; 0 if unknown.
+	Sequence int64
+	Service  string
 	// Address is the IP address and port for requests.
 	Address string
 	Zone    fleet.AvailabilityZone
--- a/internal/feed/latewrite_test.go
+++ b/internal/feed/latewrite_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -120,3 +121,90 @@
 	s.put("servers/new", serverNew)
 	eventually(t, time.Second, "both servers", func() bool { return serverIDs(f) == "new,two" })
 }
+
+// Guards against new requests to a server that has left, and was the only one of its service,
+// because the store carries out its earlier writes after the removal of its entry; and against
+// ignoring a server that runs.
+func TestLateWritesOfOnlyServerThatLeft(t *testing.T) {
+	t.Parallel()
+	const expiry = 3 * 1200 * time.Millisecond
+	entry := func(start, sequence int) string {
+		return fmt.Sprintf(`{"ID":"new","Service":"m","Address":"192.0.2.1:80","StartMS":%d,"Sequence":%d}`, start, sequence)
+	}
+	leaving := `{"ID":"new","Service":"m","Address":"192.0.2.1:80","StartMS":5,"Sequence":7,"Leaving":true}`
+	for name, c := range map[string]struct {
+		// last is the last entry before the removal, and late are those that the store carries
+		// out after it, lateGap apart.
+		last string
+		late []string
+		// after is the entry that follows, "" if the server does not run; it is used at once.
+		after string
+	}{
+		"one":                          {last: entry(5, 6), late: []string{entry(5, 4)}},
+		"one, the last":                {last: entry(5, 6), late: []string{entry(5, 6)}},
+		"two":                          {last: entry(5, 6), late: []string{entry(5, 3), entry(5, 4)}},
+		"two, in disorder":             {last: entry(5, 6), late: []string{entry(5, 4), entry(5, 3)}},
+		"reported leaving":             {last: leaving, late: []string{entry(5, 4), entry(5, 6)}},
+		"reported leaving once more":   {last: leaving, late: []string{leaving, entry(5, 6)}},
+		"former start":                 {last: entry(5, 6), late: []string{entry(2, 9)}},
+		"former start, two":            {last: entry(5, 6), late: []string{entry(2, 8), entry(2, 9)}},
+		"former and present start":     {last: entry(5, 6), late: []string{entry(2, 9), entry(5, 4)}},
+		"next heartbeat":               {last: entry(5, 6), after: entry(5, 7)},
+		"next heartbeat after a late":  {last: entry(5, 6), late: []string{entry(5, 4)}, after: entry(5, 7)},
+		"next start":                   {last: entry(5, 6), after: entry(8, 1)},
+		"next start after a late":      {last: entry(5, 6), late: []string{entry(5, 4)}, after: entry(8, 1)},
+		"next start, reported leaving": {last: leaving, late: []string{entry(5, 4)}, after: entry(8, 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const lateGap = 2500 * time.Millisecond
+			s := newStore()
+			s.put("servers/new", entry(5, 5))
+			f := start(t, s, alone)
+			used := func() bool { return usable(f) == "new" }
+			eventually(t, time.Second, "the server", used)
+			time.Sleep(missingGracePeriod)
+			s.put("servers/new", c.last)
+			time.Sleep(200 * time.Millisecond)
+			s.remove("servers/new")
+			eventually(t, time.Second, "the server is gone", func() bool { return serverIDs(f) == "" })
+			for _, late := range c.late {
+				s.put("servers/new", late)
+				holds(t, lateGap, "the server is not used", func() bool { return !used() })
+			}
+			if c.after != "" {
+				s.put("servers/new", c.after)
+				eventually(t, time.Second, "the server that runs is used", used)
+				return
+			}
+			holds(t, expiry-lateGap, "the server is not used", func() bool { return !used() })
+			s.remove("servers/new")
+			holds(t, doubtPeriod, "the server is not used", func() bool { return !used() })
+		})
+	}
+}
+
+// Guards against ignoring a server that runs because its heartbeats are carried out in
+// disorder, before and after its entry expired.
+func TestHeartbeatsInDisorderKeepServer(t *testing.T) {
+	t.Parallel()
+	s := newStore()
+	put := func(sequence int) {
+		s.put("servers/new", fmt.Sprintf(`{"ID":"new","Service":"m","Address":"192.0.2.1:80","StartMS":5,"Sequence":%d}`, sequence))
+	}
+	put(5)
+	f := start(t, s, alone)
+	used := func() bool { return usable(f) == "new" }
+	eventually(t, time.Second, "the server", used)
+	time.Sleep(missingGracePeriod)
+	for _, sequence := range []int{8, 6, 7} {
+		put(sequence)
+		holds(t, 200*time.Millisecond, "the server is used", used)
+	}
+	s.remove("servers/new")
+	eventually(t, time.Second, "the entry expires", func() bool { return !used() })
+	put(11)
+	eventually(t, time.Second, "the server is used", used)
+	put(10)
+	holds(t, time.Second, "the server is used", used)
+}
--- a/internal/feed/servers.go
+++ b/internal/feed/servers.go
@@ -16,8 +16,10 @@
 	missingGracePeriod = 2300 * time.Millisecond
 	// doubtPeriod is how long an entry is ignored that is from before what this process
 	// knows of its server. The entry of a server that does not run expires after three
-	// heartbeats of 1.2 s.
-	doubtPeriod = 5 * time.Second
+	// heartbeats of 1.2 s. Fewer than runningWrites entries in that time may all have been
+	// carried out late; a server that runs writes more.
+	doubtPeriod   = 5 * time.Second
+	runningWrites = 3
 	// departedPeriod is how long a server that has left is remembered, and maxDeparted
 	// the number of servers that are. Copies of the store are some seconds old.
 	departedPeriod = 10 * time.Minute
@@ -47,6 +49,8 @@
 
 type entry struct {
 	*deployment.Server
+	// sequence is the highest one that this start of the server has written.
+	sequence int64
 	// history is the number of the history in which the entry was read.
 	history int
 	// missingSince is when this process found the entry gone after an outage or a restore
@@ -57,7 +61,9 @@
 
 type departure struct {
 	startMS int64
-	leaving bool
+	// sequence is the highest one that the start has written.
+	sequence int64
+	leaving  bool
 	// left is true if the server removed its entry, as far as is known: the entry may also
 	// have expired.
 	left bool
@@ -67,7 +73,12 @@
 type doubt struct {
 	item    Item
 	startMS int64
-	since   time.Time
+	// since is when the first doubted entry of the start was seen, last when the latest one
+	// was, and writes their number.
+	since, last time.Time
+	writes      int
+	// late is true if the entry is known to be from before another one of its server.
+	late bool
 	// restored is true if the entry was in the first listing of a history. The server
 	// proves itself if it writes again.
 	restored bool
@@ -107,13 +118,15 @@
 			continue
 		}
 		former, again := doubted[i.Key]
+		late, known := s.writtenLate(i.Key, server)
 		switch {
 		case restored && s.precedesKnown(i.Key, server):
-			s.doubt(i, server, time.Now(), true)
+			now := time.Now()
+			s.doubt(doubt{item: i, startMS: server.StartMS, since: now, last: now, writes: 1, restored: true}, server)
 		case !restored && again && former.item.Revision == i.Revision:
 			s.doubted[i.Key] = former
-		case !restored && s.writtenLate(i.Key, server):
-			s.doubtWrite(i, server, former)
+		case !restored && late:
+			s.doubtWrite(i, server, former, known)
 		default:
 			present[i.Key] = true
 			s.put(i, server, false)
@@ -141,19 +154,36 @@
 	return ok && !earlierStart(d.startMS, server.StartMS)
 }
 
+// acceptedAt returns when an entry is used that has not expired.
+func (d doubt) acceptedAt() time.Time {
+	if d.late && d.writes < runningWrites {
+		return d.last.Add(doubtPeriod)
+	}
+	return d.since.Add(doubtPeriod)
+}
+
 // writtenLate reports whether an entry was written before what this process knows of the
-// server, and carried out by the store after it. A start that left does not return, but its
-// entry may also have expired while the server could not reach the store; if it is the only
-// one of its service, it is used.
-func (s *servers) writtenLate(key string, server *deployment.Server) bool {
+// server, and carried out by the store after it; known is false if the server may also have
+// written it just now. A start that left does not return, but its entry may also have expired
+// while the server could not reach the store. Without a sequence that shows it, such an
+// entry is used if it is the only one of its service.
+func (s *servers) writtenLate(key string, server *deployment.Server) (late, known bool) {
 	if e := s.entries[key]; e != nil {
-		return earlierStart(server.StartMS, e.StartMS)
+		late = earlierStart(server.StartMS, e.StartMS)
+		return late, late
 	}
 	d, ok := s.departed[key]
-	if !ok || server.StartMS == 0 || earlierStart(d.startMS, server.StartMS) {
-		return false
+	switch {
+	case !ok || server.StartMS == 0 || earlierStart(d.startMS, server.StartMS):
+		return false, false
+	case earlierStart(server.StartMS, d.startMS):
+		return true, true
+	case server.Sequence != 0 && server.Sequence <= d.sequence:
+		return true, true
+	case !d.left:
+		return false, false
 	}
-	return earlierStart(server.StartMS, d.startMS) || d.left && s.hasReady(server.Service)
+	return s.hasReady(server.Service), false
 }
 
 // hasReady reports whether a service has a server that is not leaving.
@@ -166,20 +196,20 @@
 	return false
 }
 
-// doubtWrite ignores an entry that was written late until doubtPeriod has passed since the
-// first such entry of the same start.
-func (s *servers) doubtWrite(i Item, server *deployment.Server, former doubt) {
-	since := time.Now()
+// doubtWrite ignores an entry that was written late until its server has proved that it runs.
+func (s *servers) doubtWrite(i Item, server *deployment.Server, former doubt, late bool) {
+	now := time.Now()
+	d := doubt{item: i, startMS: server.StartMS, since: now, last: now, writes: 1, late: late}
 	if former.startMS == server.StartMS && !former.since.IsZero() {
-		since = former.since
+		d.since, d.writes = former.since, former.writes+1
 	}
-	s.doubt(i, server, since, false)
+	s.doubt(d, server)
 }
 
-func (s *servers) doubt(i Item, server *deployment.Server, since time.Time, restored bool) {
-	s.doubted[i.Key] = doubt{item: i, startMS: server.StartMS, since: since, restored: restored}
+func (s *servers) doubt(d doubt, server *deployment.Server) {
+	s.doubted[d.item.Key] = d
 	s.recorder.Record("server_doubted", "", events.F("server", server.ID), events.F("address", server.Address), events.F("leaving", server.Leaving),
-		events.F("restored", restored), events.F("revision", i.Revision))
+		events.F("restored", d.restored), events.F("late", d.late), events.F("sequence", server.Sequence), events.F("revision", d.item.Revision))
 }
 
 // earlierStart reports whether a server that started at a is known to have started before
@@ -194,8 +224,8 @@
 		return
 	}
 	former, again := s.doubted[i.Key]
-	if !(again && former.restored) && s.writtenLate(i.Key, server) {
-		s.doubtWrite(i, server, former)
+	if late, known := s.writtenLate(i.Key, server); late && !(again && former.restored) {
+		s.doubtWrite(i, server, former, known)
 		return
 	}
 	delete(s.doubted, i.Key)
@@ -221,11 +251,14 @@
 // entry that is written may be that of a later start.
 func (s *servers) put(i Item, server *deployment.Server, written bool) {
 	old := s.entries[i.Key]
-	e := &entry{Server: server, history: s.history}
+	e := &entry{Server: server, sequence: server.Sequence, history: s.history}
 	sameStart := old != nil && old.StartMS == server.StartMS && (server.StartMS != 0 || !written && old.history != s.history)
 	wasLeaving := sameStart && old.Leaving
-	if d, ok := s.departed[i.Key]; ok && old == nil {
-		wasLeaving = d.leaving && server.StartMS != 0 && d.startMS == server.StartMS
+	if old != nil && old.StartMS == server.StartMS {
+		e.sequence = max(e.sequence, old.sequence)
+	}
+	if d, ok := s.departed[i.Key]; ok && old == nil && server.StartMS != 0 && d.startMS == server.StartMS {
+		wasLeaving, e.sequence = d.leaving, max(e.sequence, d.sequence)
 	}
 	if wasLeaving && !server.Leaving {
 		leaving := *server
@@ -255,7 +288,7 @@
 	if len(s.departed) < maxDeparted {
 		now := time.Now()
 		left := (reason == deleted || reason == unlisted) && now.After(s.settled)
-		s.departed[key] = departure{startMS: e.StartMS, leaving: e.Leaving, left: left, at: now}
+		s.departed[key] = departure{startMS: e.StartMS, sequence: e.sequence, leaving: e.Leaving, left: left, at: now}
 	}
 }
 
@@ -272,7 +305,7 @@
 		}
 	}
 	for _, d := range s.doubted {
-		wait = min(wait, time.Until(d.since.Add(doubtPeriod)))
+		wait = min(wait, time.Until(d.acceptedAt()))
 	}
 	return max(wait, minWatchWait)
 }
@@ -291,7 +324,7 @@
 		}
 	}
 	for key, d := range s.doubted {
-		if now.Sub(d.since) >= doubtPeriod {
+		if !now.Before(d.acceptedAt()) {
 			delete(s.doubted, key)
 			if server := s.decode(d.item); server != nil {
 				s.put(d.item, server, true)
