feed: an entry that can't have expired does not return in the same start

The only server of a service was then used again after it had left.

Cause: whether the entry had expired was not asked. An entry expires after three heartbeats without a write, so one that is removed within 2 s of a write was removed by its server. Now no later entry of that start is used at once. A number that equals the highest one proves nothing any more.

In its cases of servers that run the entry now expires after 3.6 s, as it does in the store.

--- a/internal/feed/latewrite_test.go
+++ b/internal/feed/latewrite_test.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// expiry is the time after which the entry of a silent server is removed.
+const expiry = 3 * 1200 * time.Millisecond
+
 const serverNewFormer = `{"ID":"new","Service":"m","Address":"192.0.2.1:80","StartMS":1}`
 
 // Guards against new requests to a leaving server because the store carries out one of its
@@ -127,7 +130,6 @@
 // ignoring a server that runs.
 func TestLateWritesOfOnlyServerThatLeft(t *testing.T) {
 	t.Parallel()
-	const expiry = 3 * 1200 * time.Millisecond
 	entry := func(start, sequence int) string {
 		return fmt.Sprintf(`{"ID":"new","Service":"m","Address":"192.0.2.1:80","StartMS":%d,"Sequence":%d}`, start, sequence)
 	}
@@ -137,20 +139,25 @@
 		// out after it, lateGap apart.
 		last string
 		late []string
+		// expires is true if the entry is removed because the server is silent.
+		expires bool
 		// after is the entry that follows, "" if the server does not run; it is used at once.
 		after string
 	}{
 		"one":                          {last: entry(5, 6), late: []string{entry(5, 4)}},
-		"one, the last":                {last: entry(5, 6), late: []string{entry(5, 6)}},
+		"one, the last":                {last: entry(5, 6), late: []string{entry(5, 7)}},
+		"one, after silence":           {last: entry(5, 6), late: []string{entry(5, 4)}, expires: true},
 		"two":                          {last: entry(5, 6), late: []string{entry(5, 3), entry(5, 4)}},
+		"two, the last":                {last: entry(5, 6), late: []string{entry(5, 7), entry(5, 8)}},
 		"two, in disorder":             {last: entry(5, 6), late: []string{entry(5, 4), entry(5, 3)}},
+		"without a number":             {last: entry(5, 0), late: []string{entry(5, 0), entry(5, 0)}},
 		"reported leaving":             {last: leaving, late: []string{entry(5, 4), entry(5, 6)}},
 		"reported leaving once more":   {last: leaving, late: []string{leaving, entry(5, 6)}},
 		"former start":                 {last: entry(5, 6), late: []string{entry(2, 9)}},
 		"former start, two":            {last: entry(5, 6), late: []string{entry(2, 8), entry(2, 9)}},
 		"former and present start":     {last: entry(5, 6), late: []string{entry(2, 9), entry(5, 4)}},
-		"next heartbeat":               {last: entry(5, 6), after: entry(5, 7)},
-		"next heartbeat after a late":  {last: entry(5, 6), late: []string{entry(5, 4)}, after: entry(5, 7)},
+		"next heartbeat":               {last: entry(5, 6), expires: true, after: entry(5, 7)},
+		"next heartbeat after a late":  {last: entry(5, 6), late: []string{entry(5, 4)}, expires: true, after: entry(5, 7)},
 		"next start":                   {last: entry(5, 6), after: entry(8, 1)},
 		"next start after a late":      {last: entry(5, 6), late: []string{entry(5, 4)}, after: entry(8, 1)},
 		"next start, reported leaving": {last: leaving, late: []string{entry(5, 4)}, after: entry(8, 1)},
@@ -166,6 +173,9 @@
 			time.Sleep(missingGracePeriod)
 			s.put("servers/new", c.last)
 			time.Sleep(200 * time.Millisecond)
+			if c.expires {
+				time.Sleep(expiry)
+			}
 			s.remove("servers/new")
 			eventually(t, time.Second, "the server is gone", func() bool { return serverIDs(f) == "" })
 			for _, late := range c.late {
@@ -201,6 +211,7 @@
 		put(sequence)
 		holds(t, 200*time.Millisecond, "the server is used", used)
 	}
+	time.Sleep(expiry)
 	s.remove("servers/new")
 	eventually(t, time.Second, "the entry expires", func() bool { return !used() })
 	put(11)
--- a/internal/feed/servers.go
+++ b/internal/feed/servers.go
@@ -20,6 +20,9 @@
 	// carried out late; a server that runs writes more.
 	doubtPeriod   = 5 * time.Second
 	runningWrites = 3
+	// minExpiry is the time since its last write within which an entry can't expire. Entries
+	// expire after three heartbeats without a write.
+	minExpiry = 2 * time.Second
 	// departedPeriod is how long a server that has left is remembered, and maxDeparted
 	// the number of servers that are. Copies of the store are some seconds old.
 	departedPeriod = 10 * time.Minute
@@ -49,8 +52,10 @@
 
 type entry struct {
 	*deployment.Server
-	// sequence is the highest one that this start of the server has written.
-	sequence int64
+	// sequence is the highest one that this start of the server has written, and writtenAt
+	// when this process saw it write; zero if it has not.
+	sequence  int64
+	writtenAt time.Time
 	// history is the number of the history in which the entry was read.
 	history int
 	// missingSince is when this process found the entry gone after an outage or a restore
@@ -65,9 +70,9 @@
 	sequence int64
 	leaving  bool
 	// left is true if the server removed its entry, as far as is known: the entry may also
-	// have expired.
-	left bool
-	at   time.Time
+	// have expired, unless removed is true.
+	left, removed bool
+	at            time.Time
 }
 
 type doubt struct {
@@ -178,10 +183,12 @@
 		return false, false
 	case earlierStart(server.StartMS, d.startMS):
 		return true, true
-	case server.Sequence != 0 && server.Sequence <= d.sequence:
+	case server.Sequence != 0 && server.Sequence < d.sequence:
 		return true, true
 	case !d.left:
 		return false, false
+	case d.removed:
+		return true, true
 	}
 	return s.hasReady(server.Service), false
 }
@@ -255,7 +262,10 @@
 	sameStart := old != nil && old.StartMS == server.StartMS && (server.StartMS != 0 || !written && old.history != s.history)
 	wasLeaving := sameStart && old.Leaving
 	if old != nil && old.StartMS == server.StartMS {
-		e.sequence = max(e.sequence, old.sequence)
+		e.sequence, e.writtenAt = max(e.sequence, old.sequence), old.writtenAt
+	}
+	if written {
+		e.writtenAt = time.Now()
 	}
 	if d, ok := s.departed[i.Key]; ok && old == nil && server.StartMS != 0 && d.startMS == server.StartMS {
 		wasLeaving, e.sequence = d.leaving, max(e.sequence, d.sequence)
@@ -288,7 +298,10 @@
 	if len(s.departed) < maxDeparted {
 		now := time.Now()
 		left := (reason == deleted || reason == unlisted) && now.After(s.settled)
-		s.departed[key] = departure{startMS: e.StartMS, sequence: e.sequence, leaving: e.Leaving, left: left, at: now}
+		s.departed[key] = departure{
+			startMS: e.StartMS, sequence: e.sequence, leaving: e.Leaving,
+			left: left, removed: left && now.Sub(e.writtenAt) < minExpiry, at: now,
+		}
 	}
 }
 
