gateway: a success without its server's signature is not relayed

Cause: ResponseInfo.Signed was set and read nowhere. Now such an answer counts as a failed attempt that may have run: the connection is closed, requests that may be repeated go to another server, others are answered 502.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,6 +19,10 @@
 // errWrongResponse is the error of a response that belongs to another request.
 var errWrongResponse = errors.New("the answer belongs to another request")
 
+// errUnsigned is the error of a success that does not carry its server's signature: its head or
+// body may not be what the server sent.
+var errUnsigned = errors.New("the answer has no signature of the server")
+
 // sendResult is the outcome of one attempt at a backend server: a response whose
 // headers have arrived, or an error with a verdict.
 type sendResult struct {
@@ -69,6 +73,10 @@
 		_ = resp.Body.Close()
 		_ = (*connection.Load()).Close()
 		s.resp, s.err = nil, errWrongResponse
+	case !s.reply.Signed && resp.StatusCode/100 == 2:
+		_ = resp.Body.Close()
+		_ = (*connection.Load()).Close()
+		s.resp, s.err = nil, errUnsigned
 	case s.reply.NotRun && resp.StatusCode >= http.StatusBadRequest:
 		s.verdict = verdict.NotRun
 		switch {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -72,7 +72,7 @@
 }
 
 func (testHeaders) Reply(resp *http.Response) ResponseInfo {
-	return ResponseInfo{ID: fleet.RequestID(resp.Header.Get("Id")), NotRun: resp.Header.Get("Not-Run") != "", HasLoad: resp.Header.Get("Idle") != ""}
+	return ResponseInfo{ID: fleet.RequestID(resp.Header.Get("Id")), NotRun: resp.Header.Get("Not-Run") != "", Signed: resp.Header.Get("Unsigned") == "", HasLoad: resp.Header.Get("Idle") != ""}
 }
 
 func (testHeaders) Answer(in http.Header) http.Header { return in.Clone() }
