gateway: a stream that waits at its server is not cut by a planned stop

Cause: the time to the first event by which a late stream is accepted is an aim and no bound. Now a stream that was accepted late and of which its caller has nothing is ended with 502 when the rest of its events would no longer fit. No more streams are refused than before.

--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -58,6 +58,23 @@
 	return g.refusalLeaving()
 }
 
+// limitFirstEvent calls end when a stream that was accepted late in a planned stop, and whose
+// caller has nothing of it yet, could not end any more before the stop does: its caller is
+// then told to ask elsewhere in time. The timer ends when the returned function is called,
+// which reports whether end has not been called.
+func (g *Gateway) limitFirstEvent(r *request, end func()) (stop func() bool) {
+	unlimited := func() bool { return true }
+	if !g.leaving() || g.earlyInStop(r) || !r.route.Idempotent() {
+		return unlimited
+	}
+	_, needs := g.streamTime(r, time.Now())
+	at, _ := g.stop.At()
+	if needs == 0 || !r.deadline.After(at) {
+		return unlimited
+	}
+	return time.AfterFunc(time.Until(at.Add(-needs)), end).Stop
+}
+
 // refusalLeaving is the refusal of a request that another gateway can serve whole.
 func (g *Gateway) refusalLeaving() *verdict.Error {
 	at, _ := g.stop.At()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -198,3 +198,38 @@
 	is.Equal(d.longest(now.Add(durationPeriod)), 3*time.Second)
 	is.Equal(d.longest(now.Add(2*durationPeriod)), time.Duration(0))
 }
+
+// Guards against a stream that is accepted late in a planned stop, waits at its server, and is
+// cut at the end of the stop; its caller must hear of it before. One whose first event comes in
+// time is served.
+func TestStreamThatWaitsAtItsServerIsNotCutByPlannedStop(t *testing.T) {
+	is := is.New(t)
+	const tokens = 10 // 1.2 s at the route's pace
+	events := func(w http.ResponseWriter, r *http.Request) {
+		wait, _ := strconv.Atoi(r.Header.Get("Wait"))
+		time.Sleep(time.Duration(wait) * time.Millisecond)
+		for i := range tokens {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(40 * time.Millisecond)
+		}
+	}
+	w := newTestGateway(t, map[string][]*backend{"model": {newBackend(t, events)}})
+	ask := func(wait time.Duration) (status int, whole bool) {
+		status, _, whole, _ = w.ask(t, "POST", "/stream/x", func(r *http.Request) {
+			r.Header.Set("Wait", strconv.Itoa(int(wait.Milliseconds())))
+			r.Header.Set("Tokens", strconv.Itoa(tokens))
+		})
+		return status, whole
+	}
+	began := time.Now()
+	w.gateway.StartDrain(began.Add(earlyStop + 3*time.Second))
+	time.Sleep(time.Until(began.Add(earlyStop + 100*time.Millisecond)))
+	status, whole := ask(400 * time.Millisecond)
+	is.True(whole)
+	is.Equal(status, http.StatusOK)
+	status, whole = ask(1750 * time.Millisecond)
+	is.True(whole)
+	is.Equal(status, http.StatusBadGateway)
+	is.True(time.Since(began) < earlyStop+2000*time.Millisecond)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -87,7 +87,7 @@
 			return
 		}
 		evacuated := errors.Is(out.err, errSlowServer)
-		if ctx.Err() != nil || !evacuated && (x.stalled() || !g.mayRetry(r, out)) {
+		if ctx.Err() != nil || errors.Is(out.err, errStopping) || !evacuated && (x.stalled() || !g.mayRetry(r, out)) {
 			s.abort(ctx, out)
 			return
 		}
@@ -189,6 +189,10 @@
 	limit := silenceLimitFor(s.r.route)
 	watchdog := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	stopTimer := func() bool { return true }
+	if !s.headersSent {
+		stopTimer = s.g.limitFirstEvent(s.r, func() { cancel(errStopping) })
+	}
 	s.sentAt, s.eventsHere = time.Now(), 0
 	s.r.nextStreamed = s.g.Quarantine.NextStreamed(s.r.fingerprints[0])
 	out := s.g.send(ctx, s.r, p, s.lastEvent)
@@ -196,18 +200,22 @@
 	if out.verdict != verdict.NotRun {
 		s.r.runs++
 	}
+	if !stopTimer() && out.err == nil {
+		_ = out.resp.Body.Close()
+		out.resp, out.err = nil, errStopping
+	}
 	if out.err == nil {
 		out = s.relay(out, p, func() { watchdog.Reset(limit) })
 	}
-	if cause := context.Cause(ctx); out.err != nil && errors.Is(cause, errSilent) {
-		out.err = errSilent
+	if cause := context.Cause(ctx); out.err != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errStopping)) {
+		out.err = cause
 	}
 	switch {
 	case out.err == nil:
 		p.service.pool.RecordSuccess(p.backend)
 		s.g.recordCompletion(s.r)
-	case errors.Is(out.err, errSlowServer):
-		// The stream moves because the server is slow; that is not a failure.
+	case errors.Is(out.err, errSlowServer), errors.Is(out.err, errStopping):
+		// The stream moves or ends early because the server is slow; that is not a failure.
 	case out.verdict != verdict.NotRun:
 		s.g.recordFailure(ctx, s.r, p, out)
 		if ctx.Err() == nil && out.err != errFailedByServer {
@@ -222,6 +230,7 @@
 	errFailedByServer  = errors.New("the server failed the request")
 	errBrokenOff       = errors.New("the stream broke off")
 	errSlowServer      = errors.New("the server is slow and holds its group up")
+	errStopping        = errors.New("the gateway stops before the stream could end")
 )
 
 // silenceLimitFor returns the time without an event after which a server counts as
