--- a/integration/soak/checks_test.go
+++ b/integration/soak/checks_test.go
@@ -232,7 +232,8 @@
 }
 
 // checkDrain checks that a draining server gets no new work after drainBound, although the
-// store carries out earlier writes of it late, before and after it has removed its entry.
+// store carries out earlier writes of it late, before and, twice, after it has removed its
+// entry.
 func (f *fleet) checkDrain(t *testing.T) {
 	s := f.plain[0]
 	f.publish(s, "draining")
@@ -241,8 +242,10 @@
 	f.publish(s, "ready")
 	time.Sleep(faultFreeTime)
 	f.store.DeleteServer(s.id)
-	time.Sleep(time.Second)
-	f.publish(s, "ready")
+	for range 2 {
+		time.Sleep(time.Second)
+		f.publish(s, "ready")
+	}
 	time.Sleep(faultFreeTime)
 	for _, r := range f.record.Runs() {
 		if r.Server == s.id && r.At.After(from) {
--- a/integration/soak/faults_test.go
+++ b/integration/soak/faults_test.go
@@ -342,13 +342,16 @@
 	x.changes.Lock()
 	s := x.fleet.plain[x.random.IntN(len(x.fleet.plain))].process
 	x.changes.Unlock()
-	x.injectFor("answers "+s.ID, "lost and failed", x.randomDuration(500*time.Millisecond, 3*time.Second), func() {
+	d := x.randomDuration(500*time.Millisecond, 3*time.Second)
+	x.injectFor("answers "+s.ID, "lost and failed", d, func() {
 		s.AnswerLossRate.Set(0.3)
 		s.Fail.Set(0.3)
 	}, func() {
 		s.AnswerLossRate.Set(0)
 		s.Fail.Set(0)
 	})
+	failed := &x.fleet.group.FailureRate
+	x.injectFor("streams", "failed by servers that ran them", d, func() { failed.Set(0.1) }, func() { failed.Set(0) })
 }
 
 func (x *faults) addRoute() {
