gateway: a silent stream that can't continue elsewhere is not ended early

Cause: a silent stream is ended after 0.9 of its caller's patience so that it can continue at another server, also where the route or the number of attempts allows none. Such a stream now gets 1.25 times that patience: a stalled one still ends.

TestSilentStreamThatCannotContinueIsNotEnded fails before.

--- a/internal/gateway/server_faults_test.go
+++ b/internal/gateway/server_faults_test.go
@@ -71,6 +71,30 @@
 	}
 }
 
+// Guards against ending a silent stream that can't continue at another server before its caller
+// gives up, and against one that never ends.
+func TestSilentStreamThatCannotContinueIsNotEnded(t *testing.T) {
+	for pause, want := range map[time.Duration]bool{1950 * time.Millisecond: true, 4 * time.Second: false} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newTestGateway(t, map[string][]*backend{"model": {newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				_ = sendEvent(w, "id: 0\ndata: part 0\n\n")
+				select {
+				case <-r.Context().Done():
+				case <-time.After(pause):
+				}
+				_ = sendEvent(w, "id: 1\ndata: part 1\n\n")
+			})}})
+			began := time.Now()
+			status, _, whole, _ := w.ask(t, http.MethodPost, "/stream/once/x")
+			is.Equal(status, http.StatusOK)
+			is.Equal(whole, want)
+			is.True(time.Since(began) < 3500*time.Millisecond)
+		})
+	}
+}
+
 // endless writes begin once and then again repeatedly, until a write fails.
 func endless(w io.Writer, begin, again string) {
 	if _, err := io.WriteString(w, begin); err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,10 +31,12 @@
 	// Callers disconnect after callerTargets latency targets or callerGaps target gaps
 	// without an event, and not before 2 s. The server gets silenceShare of that time;
 	// the rest allows the stream to continue at another server before the caller
-	// disconnects.
-	callerTargets = 4
-	callerGaps    = 8
-	silenceShare  = 0.9
+	// disconnects. If it can't continue there, the server gets lastSilenceShare, after which
+	// the caller has given up.
+	callerTargets    = 4
+	callerGaps       = 8
+	silenceShare     = 0.9
+	lastSilenceShare = 1.25
 	// defaultAnswerTokens is assumed for an answer of unknown length. The mean answer
 	// of the deployments has 97 tokens.
 	defaultAnswerTokens = 100
@@ -187,6 +189,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	limit := silenceLimitFor(s.r.route)
+	if !s.r.mayContinue() {
+		limit = lastSilenceLimitFor(s.r.route)
+	}
 	watchdog := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	stopTimer := func() bool { return true }
@@ -240,6 +245,17 @@
 	return max(time.Duration(silenceShare*float64(callers)), minSilenceLimit)
 }
 
+// lastSilenceLimitFor returns the same time for a stream that can't continue at another
+// server. Silence is no reason to end it before its caller gives up.
+func lastSilenceLimitFor(route *deployment.Route) time.Duration {
+	return time.Duration(lastSilenceShare / silenceShare * float64(silenceLimitFor(route)))
+}
+
+// mayContinue reports whether a stream may continue at another server after its next run.
+func (r *request) mayContinue() bool {
+	return r.route.Idempotent() && r.runs+1 < r.route.MaxServers && len(r.tried)+1 < maxSends
+}
+
 // relay sends the response to the caller, event by event. It calls progress for each
 // event with data that the caller did not have. A server that only sends comments,
 // parts of events or events that it had sent before counts as silent.
