feed: the time since a server's last write is not taken for too short

On reading the diff: after a pause of the gateway a write and the removal of the entry arrive together, and the time between them looked shorter than it was. The only server of a service could then be ignored for 5 s although its entry had expired and it ran. A doubted entry that was accepted also counted as written.

Now the last write counts as made when the answer of the store before it arrived, the earliest time that it can have been made at, and the entry counts as removed by its server within 3 s instead of 2 s: entries expire after 3.6 s.

In the gateway a 421 is handled in one place again.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -311,6 +311,7 @@
 		f.connectedSince.Store(int64(asked))
 	}
 	f.logReconnected()
+	f.servers.answered()
 	f.servers.replace(list.items, f.history, outage)
 	f.servers.expire(f.others.LongestStoreConnection(at.History))
 	if found {
@@ -439,6 +440,7 @@
 	if !r.at.reachableFrom(after) {
 		return Position{}, false, ErrHistoryChanged
 	}
+	f.servers.answered()
 	for _, i := range r.items {
 		f.applyChange(i)
 	}
--- a/internal/feed/servers.go
+++ b/internal/feed/servers.go
@@ -21,8 +21,8 @@
 	doubtPeriod   = 5 * time.Second
 	runningWrites = 3
 	// minExpiry is the time since its last write within which an entry can't expire. Entries
-	// expire after three heartbeats without a write.
-	minExpiry = 2 * time.Second
+	// expire after three heartbeats without a write; the rest allows for slow answers.
+	minExpiry = 3 * time.Second
 	// departedPeriod is how long a server that has left is remembered, and maxDeparted
 	// the number of servers that are. Copies of the store are some seconds old.
 	departedPeriod = 10 * time.Minute
@@ -48,12 +48,15 @@
 	doubted map[string]doubt
 	// settled is when the entries that expired in the last outage are registered again.
 	settled time.Time
+	// answeredAt is when the last answer of the store arrived, and changedAfter when the one
+	// before it did: the changes of the last answer were made since then.
+	answeredAt, changedAfter time.Time
 }
 
 type entry struct {
 	*deployment.Server
-	// sequence is the highest one that this start of the server has written, and writtenAt
-	// when this process saw it write; zero if it has not.
+	// sequence is the highest one that this start of the server has written. Its last write
+	// was at writtenAt or later; zero if unknown.
 	sequence  int64
 	writtenAt time.Time
 	// history is the number of the history in which the entry was read.
@@ -106,6 +109,9 @@
 	}
 }
 
+// answered records that an answer of the store has arrived.
+func (s *servers) answered() { s.changedAfter, s.answeredAt = s.answeredAt, time.Now() }
+
 // replace applies a full listing. After an outage or a restore, servers that are not in the
 // listing are kept as missing until expire removes them.
 func (s *servers) replace(items []Item, history int, outage bool) {
@@ -169,9 +175,9 @@
 
 // writtenLate reports whether an entry was written before what this process knows of the
 // server, and carried out by the store after it; known is false if the server may also have
-// written it just now. A start that left does not return, but its entry may also have expired
-// while the server could not reach the store. Without a sequence that shows it, such an
-// entry is used if it is the only one of its service.
+// written it just now. A start that left does not return. If its entry may have expired while
+// the server could not reach the store, and no number shows that the new one is older, it is
+// used if it is the only one of its service.
 func (s *servers) writtenLate(key string, server *deployment.Server) (late, known bool) {
 	if e := s.entries[key]; e != nil {
 		late = earlierStart(server.StartMS, e.StartMS)
@@ -237,6 +243,7 @@
 	}
 	delete(s.doubted, i.Key)
 	s.put(i, server, true)
+	s.entries[i.Key].writtenAt = s.changedAfter
 }
 
 // decode returns the server of an entry, or nil if the entry is unreadable.
@@ -264,9 +271,6 @@
 	if old != nil && old.StartMS == server.StartMS {
 		e.sequence, e.writtenAt = max(e.sequence, old.sequence), old.writtenAt
 	}
-	if written {
-		e.writtenAt = time.Now()
-	}
 	if d, ok := s.departed[i.Key]; ok && old == nil && server.StartMS != 0 && d.startMS == server.StartMS {
 		wasLeaving, e.sequence = d.leaving, max(e.sequence, d.sequence)
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -64,9 +64,6 @@
 	if s.reply.HasLoad && s.reply.ID == r.ID {
 		p.service.pool.Report(p.backend.Server.ID, s.reply.Running+s.reply.Waiting)
 	}
-	if resp.StatusCode == http.StatusMisdirectedRequest && s.reply.ID == r.ID {
-		p.service.pool.MarkMisdirected(p.backend)
-	}
 	switch {
 	case s.reply.ID != r.ID:
 		// The response to this request may still follow on the connection.
@@ -81,11 +78,14 @@
 		s.verdict = verdict.NotRun
 		switch {
 		case resp.StatusCode == http.StatusMisdirectedRequest:
+			p.service.pool.MarkMisdirected(p.backend)
 		case s.reply.HasLoad && s.reply.Running+s.reply.Waiting < p.backend.Server.Slots:
 			p.service.recordRefusalWithFreeSlots()
 		default:
 			p.service.pool.MarkFull(p.backend, p.backend.Server.Slots)
 		}
+	case resp.StatusCode == http.StatusMisdirectedRequest:
+		p.service.pool.MarkMisdirected(p.backend)
 	}
 	return s
 }
